--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+GOLANGCI_LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SEED ?= 1
+
+.PHONY: all build fmt lint test
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+fmt:
+	$(GOLANGCI_LINT) fmt
+
+lint:
+	$(GOLANGCI_LINT) fmt --diff
+	go vet ./...
+	$(GOLANGCI_LINT) run
+
+# The seed of the property-based tests is fixed, so that every run has one verdict.
+test:
+	RAPID_SEED=$(SEED) go test -race -count=1 ./...
--- /dev/null
+++ b/pkg/fleet/config.go
@@ -0,0 +1,98 @@
+// Package fleet holds the plain types that all other packages share: configuration, hosts, backend servers and the
+// outcomes of requests. It has no behavior beyond small lookups, so that any front end can use it.
+package fleet
+
+import "time"
+
+// Preference shifts the balance between fast detection and few false ejections for a service.
+type Preference string
+
+// Preferences that a service can state.
+const (
+	FewerFalseEjections Preference = "fewer-false-ejections"
+	Balanced            Preference = "balanced"
+	FasterDetection     Preference = "faster-detection"
+)
+
+// BackendServer is one server of a service. Nothing of egretline runs on it.
+type BackendServer struct {
+	// Address is IP:port, and identifies the server within its service.
+	Address          string
+	AvailabilityZone string
+	// Slots is the number of requests that the server runs at the same time.
+	Slots int
+	// Connections is the number of connections that the server accepts from the whole fleet.
+	Connections int
+}
+
+// Service is a pool of interchangeable backend servers.
+type Service struct {
+	Name   string
+	Region string
+	// Floor is the number of healthy backend servers that ejections must leave in use.
+	Floor      int
+	GroupSize  int
+	Preference Preference
+	// ColdStart is how long after its first sight a backend server may be slow without being suspected.
+	ColdStart      time.Duration
+	BackendServers []BackendServer
+}
+
+// Rank is a priority level of work. Configuration lists ranks from the most to the least urgent.
+type Rank struct {
+	Name string
+	// Share is the fraction of slot time, 0 to 1, that the rank keeps when every rank has waiting work.
+	Share float64
+	// SlotLimit is the fraction of slots, above 0 to 1, that the rank may hold at the same time.
+	SlotLimit float64
+}
+
+// Route maps requests to a service and a rank.
+type Route struct {
+	Name       string
+	Service    string
+	Method     string
+	PathPrefix string
+	Rank       string
+	Idempotent bool
+	// Timeout bounds all attempts of one request together.
+	Timeout time.Duration
+}
+
+// Limits bounds what one tenant may ask of one node. Zero means no limit.
+type Limits struct {
+	RequestsPerSecond float64
+	Burst             int
+	InFlight          int
+}
+
+// Tenant is a customer with its own credentials, routes and limits.
+type Tenant struct {
+	Name string
+	// TokenSHA256 is the lower-case hex SHA-256 of the tenant's bearer token.
+	TokenSHA256 string
+	// Services lists the services that the tenant may reach.
+	Services []string
+	Limits   Limits
+}
+
+// File is one decoded configuration file.
+type File struct {
+	Name     string
+	Ranks    []Rank
+	Services []Service
+	Routes   []Route
+	Tenants  []Tenant
+}
+
+// Configuration is the merger of all current files, indexed for requests.
+type Configuration struct {
+	// Revision is the log offset of the newest accepted record.
+	Revision int64
+	Ranks    []Rank
+	Services map[string]Service
+	// Routes is sorted by descending length of PathPrefix, so that the first match is the most specific.
+	Routes []Route
+	// Tenants is keyed by TokenSHA256.
+	Tenants map[string]Tenant
+}
--- /dev/null
+++ b/pkg/table/table.go
@@ -0,0 +1,157 @@
+// Package table holds the shared state of a node as plain structs. Each table has one lock, and the ranks below are the
+// lock order. Packages ending in cmd write the tables, packages ending in query read them.
+package table
+
+import (
+	"context"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/fold"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+)
+
+// Lock order of the tables: a goroutine takes locks in ascending rank.
+const (
+	RankConfig guard.Rank = iota + 1
+	RankMembers
+	RankBackends
+	RankQueues
+	RankKeys
+	RankBudgets
+	RankTraffic
+)
+
+// Tables is the shared state of one node.
+type Tables struct {
+	Config   *guard.Guard[Config]
+	Members  *guard.Guard[Members]
+	Backends *guard.Guard[Backends]
+	Queues   *guard.Guard[Queues]
+}
+
+// New returns empty tables for the node on the given host.
+func New(self fleet.Host, incarnation string) *Tables {
+	return &Tables{
+		Config:   guard.New(RankConfig, Config{}),
+		Members:  guard.New(RankMembers, Members{Self: self, Incarnation: incarnation, Hosts: map[string]Member{}}),
+		Backends: guard.New(RankBackends, Backends{Services: map[string]map[string]*Backend{}}),
+		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
+	}
+}
+
+// Config is the folded configuration and its decoded form.
+type Config struct {
+	Fold fold.State
+	// Compiled is replaced as a whole and never changed in place, so that readers may keep it.
+	Compiled *fleet.Configuration
+}
+
+// Members is what the node knows of the hosts of the fleet.
+type Members struct {
+	Self        fleet.Host
+	Incarnation string
+	Started     time.Time
+	// Hosts is keyed by host ID and does not hold the node itself.
+	Hosts map[string]Member
+}
+
+// Member is what the node knows of one other host.
+type Member struct {
+	Host        fleet.Host
+	Incarnation string
+	// Epoch is the idempotency key epoch that the host last announced.
+	Epoch    int64
+	Revision int64
+	// LastHeard is the time of the last heartbeat; zero if there was none.
+	LastHeard time.Time
+	// Listed says that the host is on the platform's host list.
+	Listed bool
+}
+
+// Backends is the state of the backend servers, by service and address.
+type Backends struct {
+	Services map[string]map[string]*Backend
+}
+
+// Backend is the state of one backend server at this node.
+type Backend struct {
+	Server      fleet.BackendServer
+	FirstSeen   time.Time
+	Outstanding int
+	Leaving     bool
+	// InFlight is keyed by ticket ID.
+	InFlight map[string]InFlight
+}
+
+// InFlight is one request that a backend server has not answered yet.
+type InFlight struct {
+	Started time.Time
+	// Responded says that the response headers have arrived, so that the age no longer hints at a stall.
+	Responded bool
+}
+
+// Queues is the waiting work by service, and the number of requests that workers hold.
+type Queues struct {
+	Services map[string]*admission.Queue[*Ticket]
+	InFlight int
+}
+
+// Ticket is one request on its way through the node.
+type Ticket struct {
+	ID         string
+	Service    string
+	Route      string
+	Rank       int
+	Tenant     string
+	Idempotent bool
+	Arrived    time.Time
+	Deadline   time.Time
+	// Context ends at the deadline or when the caller gives up.
+	Context context.Context
+	Runner  Runner
+	// Done receives the result once, after the last attempt.
+	Done chan Result
+
+	Attempt int
+	// Tried lists the addresses of earlier attempts.
+	Tried []string
+	// MaybeRun says that an earlier attempt may have run the request.
+	MaybeRun bool
+}
+
+// Runner carries the bytes of one request. Send and exactly one of Deliver and Discard are called for each attempt.
+type Runner interface {
+	// Send sends the request to the backend server and waits for the response headers.
+	Send(ctx context.Context, s fleet.BackendServer) Result
+	// Deliver streams the response to the caller.
+	Deliver(ctx context.Context) Result
+	// Discard drops the response and the connection that it came on.
+	Discard()
+}
+
+// Result is the result of an attempt or of a whole request.
+type Result struct {
+	Outcome  fleet.Outcome
+	Evidence fleet.Evidence
+	// Sent says that bytes of the request may have reached the backend server.
+	Sent bool
+	// Response says that there is a response to deliver.
+	Response bool
+	// Latency is the time to the response headers.
+	Latency time.Duration
+	// Leaving says that the backend server announced that it is leaving.
+	Leaving bool
+	// Status is the HTTP status of the response, or 0.
+	Status int
+	// RetryAfter is the wait that the caller should keep before it sends the request again; zero if none is known.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Assignment is a ticket and the backend server that it goes to.
+type Assignment struct {
+	Ticket *Ticket
+	Server fleet.BackendServer
+}
