--- /dev/null
+++ b/cmd/egretline/main.go
@@ -0,0 +1,13 @@
+// Command egretline runs a node of the proxy fleet and its operator commands.
+package main
+
+import (
+	"context"
+	"os"
+
+	"egretline.example/egretline/cmd/egretline/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Run(context.Background(), os.Args[1:]))
+}
