--- a/pkg/decide/group/group.go
+++ b/pkg/decide/group/group.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 
 	"egretline.example/egretline/pkg/fleet"
@@ -12,7 +13,7 @@
 // DefaultSize is the number of nodes that serve a service if its configuration states none.
 const DefaultSize = 4
 
-// Members returns the hosts that serve the service: the one with the highest score in each availability zone, then the
+// Members returns the hosts that serve the service, by weighted rendezvous hashing: the one with the highest score in each availability zone, then the
 // highest scores, up to the group size of the service. Leaving hosts and hosts of other regions are left out.
 func Members(s fleet.Service, hosts []fleet.Host) []fleet.Host {
 	ranked := rank(s.Name, eligible(s, hosts))
@@ -42,14 +43,94 @@
 	})
 }
 
+// Order returns the hosts in the order in which a caller in the availability zone should use them: those of its zone,
+// which are nearest, then one of each other zone in turn, so that consecutive choices do not fail together.
+func Order(hosts []fleet.Host, availabilityZone string) []fleet.Host {
+	var near []fleet.Host
+	var zones []string
+	far := map[string][]fleet.Host{}
+	for _, h := range hosts {
+		if h.AvailabilityZone == availabilityZone {
+			near = append(near, h)
+			continue
+		}
+		if far[h.AvailabilityZone] == nil {
+			zones = append(zones, h.AvailabilityZone)
+		}
+		far[h.AvailabilityZone] = append(far[h.AvailabilityZone], h)
+	}
+	ordered := near
+	for len(ordered) < len(hosts) {
+		for _, z := range zones {
+			if len(far[z]) > 0 {
+				ordered = append(ordered, far[z][0])
+				far[z] = far[z][1:]
+			}
+		}
+	}
+	return ordered
+}
+
+// Probers returns the members of a service group that probe the backend server: the two with the highest scores in
+// different availability zones, or one if all members share a zone.
+func Probers(address string, members []fleet.Host) []fleet.Host {
+	var probers []fleet.Host
+	for _, h := range rank(address, slices.Clone(members)) {
+		if len(probers) == 0 {
+			probers = append(probers, h)
+			continue
+		}
+		if h.AvailabilityZone != probers[0].AvailabilityZone {
+			return append(probers, h)
+		}
+	}
+	return probers
+}
+
+// SnapshotWriter returns the host that appends snapshots of the configuration to the log, or false if there is none.
+// Views can differ for a while, and two writers are harmless.
+func SnapshotWriter(hosts []fleet.Host) (fleet.Host, bool) {
+	candidates := slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.Leaving })
+	if len(candidates) == 0 {
+		return fleet.Host{}, false
+	}
+	return rank("snapshot", candidates)[0], true
+}
+
+// rank sorts the hosts by descending score for the key.
 func rank(key string, hosts []fleet.Host) []fleet.Host {
-	slices.SortFunc(hosts, func(a, b fleet.Host) int {
-		return cmp.Or(cmp.Compare(score(key, b.ID), score(key, a.ID)), cmp.Compare(a.ID, b.ID))
+	scored := make([]scoredHost, 0, len(hosts))
+	for _, h := range hosts {
+		scored = append(scored, scoredHost{host: h, score: score(key, h)})
+	}
+	slices.SortFunc(scored, func(a, b scoredHost) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
 	})
+	for i, s := range scored {
+		hosts[i] = s.host
+	}
 	return hosts
 }
 
-func score(key, host string) uint64 {
+type scoredHost struct {
+	host  fleet.Host
+	score float64
+}
+
+// score is the weighted rendezvous score -w/ln(u), where u is a hash of key and host, uniform in (0, 1). A host gets the
+// highest score with a probability in proportion to its weight.
+func score(key string, h fleet.Host) float64 {
+	weight := h.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	// 52 bits and the added half fit a float64 exactly, so that u never rounds to 1, whose logarithm is 0.
+	const mantissaBits = 52
+	u := (float64(hash(key, h.ID)>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	return -weight / math.Log(u)
+}
+
+func hash(key, host string) uint64 {
 	f := fnv.New64a()
 	_, _ = f.Write([]byte(key + "\x00" + host))
 	v := f.Sum64()
--- a/pkg/fleet/host.go
+++ b/pkg/fleet/host.go
@@ -9,5 +9,7 @@
 	CallerAddress string
 	// PeerAddress is the IP:port where the node takes messages of other nodes.
 	PeerAddress string
-	Leaving     bool
+	// Weight is the relative capacity of the host in the choice of service groups; 0 means 1.
+	Weight  float64
+	Leaving bool
 }
--- /dev/null
+++ b/pkg/membercmd/membercmd.go
@@ -0,0 +1,63 @@
+// Package membercmd changes the Members table.
+package membercmd
+
+import (
+	"time"
+
+	"egretline.example/egretline/pkg/decide/member"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Commands changes the Members table of one node.
+type Commands struct {
+	Tables *table.Tables
+}
+
+// AdoptHostList records a list that was fetched from the platform.
+func (c *Commands) AdoptHostList(hosts []fleet.Host, now time.Time) {
+	c.Tables.Members.Write(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		member.AdoptList(&m.View, m.Self.ID, hosts, now)
+		for _, h := range hosts {
+			if h.ID == m.Self.ID {
+				m.Self.Weight = h.Weight
+			}
+		}
+	})
+}
+
+// HearHeartbeat records a heartbeat of another host.
+func (c *Commands) HearHeartbeat(b member.Heartbeat, now time.Time) member.Verdict {
+	verdict := member.Superseded
+	c.Tables.Members.Write(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		if b.Host.ID == m.Self.ID {
+			return
+		}
+		verdict = member.AdoptHeartbeat(&m.View, b, now)
+	})
+	return verdict
+}
+
+// ObserveContact records whether a message to the host got a response.
+func (c *Commands) ObserveContact(id string, succeeded bool, now time.Time) {
+	c.Tables.Members.Write(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		member.Contacted(&m.View, id, succeeded, now)
+	})
+}
+
+// Tick records that the node runs, and returns whether it was paused since the last Tick.
+func (c *Commands) Tick(now time.Time) bool {
+	var paused bool
+	c.Tables.Members.Write(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		paused = member.Tick(&m.View, now)
+	})
+	return paused
+}
+
+// SetLeaving marks this node as leaving. It cannot be taken back in the same run.
+func (c *Commands) SetLeaving() {
+	c.Tables.Members.Write(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		m.Self.Leaving = true
+	})
+}
--- /dev/null
+++ b/pkg/memberquery/memberquery.go
@@ -0,0 +1,72 @@
+// Package memberquery reads the Members table.
+package memberquery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/group"
+	"egretline.example/egretline/pkg/decide/member"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Queries reads the Members table of one node.
+type Queries struct {
+	Tables *table.Tables
+}
+
+// Self returns this node's host and incarnation.
+func (q *Queries) Self() (fleet.Host, string) {
+	var host fleet.Host
+	var incarnation string
+	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		host, incarnation = m.Self, m.Incarnation
+	})
+	return host, incarnation
+}
+
+// Live returns the live hosts with this node, sorted by ID. Leaving ones are among them.
+func (q *Queries) Live(now time.Time) []fleet.Host {
+	var hosts []fleet.Host
+	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		hosts = live(m, now)
+	})
+	return hosts
+}
+
+// Peers returns the state of every known host, sorted by ID.
+func (q *Queries) Peers() []member.State {
+	var states []member.State
+	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		for _, s := range m.View.Hosts {
+			states = append(states, s)
+		}
+	})
+	slices.SortFunc(states, func(a, b member.State) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	return states
+}
+
+// Group returns the hosts that serve the service, in the view of this node.
+func (q *Queries) Group(s fleet.Service, now time.Time) []fleet.Host {
+	return group.Members(s, q.Live(now))
+}
+
+// InGroup says whether this node serves the service.
+func (q *Queries) InGroup(s fleet.Service, now time.Time) bool {
+	self, _ := q.Self()
+	return slices.ContainsFunc(q.Group(s, now), func(h fleet.Host) bool { return h.ID == self.ID })
+}
+
+func live(m *table.Members, now time.Time) []fleet.Host {
+	hosts := []fleet.Host{m.Self}
+	for _, s := range m.View.Hosts {
+		if member.Live(m.View, s, now) {
+			hosts = append(hosts, s.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b fleet.Host) int { return cmp.Compare(a.ID, b.ID) })
+	return hosts
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -35,7 +35,7 @@
 func New(self fleet.Host, incarnation string) *Tables {
 	return &Tables{
 		Config:   guard.New(RankConfig, Config{}),
-		Members:  guard.New(RankMembers, Members{Self: self, Incarnation: incarnation, Hosts: map[string]Member{}}),
+		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
 		Backends: guard.New(RankBackends, Backends{Services: map[string]map[string]*Backend{}}),
 		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
 	}
@@ -48,28 +48,6 @@
 	Compiled *fleet.Configuration
 }
 
-// Members is what the node knows of the hosts of the fleet.
-type Members struct {
-	Self        fleet.Host
-	Incarnation string
-	Started     time.Time
-	// Hosts is keyed by host ID and does not hold the node itself.
-	Hosts map[string]Member
-}
-
-// Member is what the node knows of one other host.
-type Member struct {
-	Host        fleet.Host
-	Incarnation string
-	// Epoch is the idempotency key epoch that the host last announced.
-	Epoch    int64
-	Revision int64
-	// LastHeard is the time of the last heartbeat; zero if there was none.
-	LastHeard time.Time
-	// Listed says that the host is on the platform's host list.
-	Listed bool
-}
-
 // Backends is the state of the backend servers, by service and address.
 type Backends struct {
 	Services map[string]map[string]*Backend
--- /dev/null
+++ b/service/api/api.go
@@ -0,0 +1,2 @@
+// Package api holds the JSON messages between the processes of the fleet, the platform and operators. It has no logic.
+package api
