Add the caller edge, the backend server client and a first dispatcher

Cause: the thin request path needs both HTTP edges and a worker pool between. Change: net/http handler for callers, exchange that streams bodies both ways, checks digests and request IDs and never lets the transport replay a request that is not idempotent, dispatcher over the queue and backend tables.

--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -139,6 +139,10 @@
 	Sent bool
 	// Response says that there is a response to deliver.
 	Response bool
+	// BodyLost says that the request body cannot be sent again.
+	BodyLost bool
+	// Aborted says that the delivery of the response began and could not be completed.
+	Aborted bool
 	// Latency is the time to the response headers.
 	Latency time.Duration
 	// Leaving says that the backend server announced that it is leaving.
--- /dev/null
+++ b/service/backend/errors.go
@@ -0,0 +1,57 @@
+package backend
+
+import "fmt"
+
+// TransportError reports an attempt that ended without response headers.
+type TransportError struct {
+	Address string
+	Err     error
+}
+
+func (e TransportError) Error() string {
+	return fmt.Sprintf("backend server %s: %v", e.Address, e.Err)
+}
+
+func (e TransportError) Unwrap() error { return e.Err }
+
+// MismatchError reports a response that belongs to another request.
+type MismatchError struct {
+	Address string
+	Want    string
+	Got     string
+}
+
+func (e MismatchError) Error() string {
+	return fmt.Sprintf("backend server %s: response for request %q arrived for request %q", e.Address, e.Got, e.Want)
+}
+
+// RefusedError reports an explicit refusal of a backend server: the request was not run.
+type RefusedError struct {
+	Address string
+	Reason  string
+}
+
+func (e RefusedError) Error() string {
+	return fmt.Sprintf("backend server %s refused the request: %s", e.Address, e.Reason)
+}
+
+// DigestError reports a response body that does not match its declared digest.
+type DigestError struct {
+	Address string
+}
+
+func (e DigestError) Error() string {
+	return fmt.Sprintf("backend server %s: response body does not match its digest", e.Address)
+}
+
+// BodyError reports a response body that ended early or could not be passed on.
+type BodyError struct {
+	Address string
+	Err     error
+}
+
+func (e BodyError) Error() string {
+	return fmt.Sprintf("backend server %s: response body broke off: %v", e.Address, e.Err)
+}
+
+func (e BodyError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/service/caller/handler.go
@@ -0,0 +1,250 @@
+// Package caller serves HTTP requests of callers: it authenticates the tenant, finds the route, and has the request
+// dispatched to a backend server.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/pkg/dispatchcmd"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/service/api"
+	"egretline.example/egretline/service/backend"
+)
+
+// defaultRetryAfter is what a refusal tells the caller to wait if the decision gave no time.
+const defaultRetryAfter = time.Second
+
+// Routes reads the configuration that is in force.
+type Routes interface {
+	// Current returns the configuration, or nil if the node has none.
+	Current() *fleet.Configuration
+}
+
+// Dispatcher admits requests to the queues of the node.
+type Dispatcher interface {
+	Admit(now time.Time, t *table.Ticket) error
+	Cancel(t *table.Ticket) bool
+}
+
+// Handler serves the requests of callers.
+type Handler struct {
+	Routes     Routes
+	Dispatcher Dispatcher
+	Transport  http.RoundTripper
+	Log        zerolog.Logger
+}
+
+// New returns a handler with its dependencies.
+func New(routes Routes, d Dispatcher, t http.RoundTripper, log zerolog.Logger) *Handler {
+	return &Handler{Routes: routes, Dispatcher: d, Transport: t, Log: log}
+}
+
+// request is a caller's request with what the node knows about it.
+type request struct {
+	ID      string
+	Tenant  fleet.Tenant
+	Route   fleet.Route
+	Rank    int
+	Arrived time.Time
+	Timeout time.Duration
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q, err := h.resolve(r)
+	if err != nil {
+		h.refuse(w, q, table.Result{Outcome: fleet.NotRun, Err: err})
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.Arrived.Add(q.Timeout))
+	defer cancel()
+	h.finish(w, q, h.dispatch(ctx, w, r, q))
+}
+
+// resolve authenticates the tenant and finds the route.
+func (h *Handler) resolve(r *http.Request) (request, error) {
+	q := request{ID: rand.Text(), Arrived: time.Now()}
+	c := h.Routes.Current()
+	if c == nil {
+		return q, NotReadyError{}
+	}
+	var ok bool
+	if q.Tenant, ok = c.Tenants[tokenHash(r)]; !ok {
+		return q, UnauthorizedError{}
+	}
+	if q.Route, ok = match(c.Routes, r.Method, r.URL.Path); !ok || !clean(r.URL.Path) {
+		return q, RouteError{Method: r.Method, Path: r.URL.Path}
+	}
+	if !slices.Contains(q.Tenant.Services, q.Route.Service) {
+		return q, ForbiddenError{Tenant: q.Tenant.Name, Service: q.Route.Service}
+	}
+	q.Rank = slices.IndexFunc(c.Ranks, func(k fleet.Rank) bool { return k.Name == q.Route.Rank })
+	var err error
+	q.Timeout, err = timeout(r, q.Route.Timeout)
+	return q, err
+}
+
+func tokenHash(r *http.Request) string {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// match returns the first route for the method whose path prefix ends at a path segment of the path.
+func match(routes []fleet.Route, method, requestPath string) (fleet.Route, bool) {
+	for _, r := range routes {
+		if r.Method == method && hasPathPrefix(requestPath, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return fleet.Route{}, false
+}
+
+func hasPathPrefix(requestPath, prefix string) bool {
+	rest, ok := strings.CutPrefix(requestPath, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
+
+// clean refuses dot segments and empty segments. A backend server might resolve them to a path of another route.
+func clean(p string) bool {
+	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
+}
+
+// timeout returns the caller's timeout if it is shorter than the route's.
+func timeout(r *http.Request, limit time.Duration) (time.Duration, error) {
+	text := r.Header.Get(api.HeaderTimeout)
+	if text == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, TimeoutError{Value: text}
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
+
+// dispatch has the request run and waits for its result.
+func (h *Handler) dispatch(ctx context.Context, w http.ResponseWriter, r *http.Request, q request) table.Result {
+	exchange := backend.NewExchange(h.Transport, r, w)
+	exchange.RequestID = q.ID
+	exchange.Tenant = q.Tenant.Name
+	exchange.Idempotent = q.Route.Idempotent
+	exchange.Deadline = q.Arrived.Add(q.Timeout)
+	t := &table.Ticket{
+		ID: q.ID, Service: q.Route.Service, Route: q.Route.Name, Rank: max(q.Rank, 0), Tenant: q.Tenant.Name,
+		Idempotent: q.Route.Idempotent, Arrived: q.Arrived, Deadline: exchange.Deadline, Context: ctx,
+		Runner: exchange, Done: make(chan table.Result, 1),
+	}
+	if err := h.Dispatcher.Admit(q.Arrived, t); err != nil {
+		return table.Result{Outcome: fleet.NotRun, Err: err}
+	}
+	select {
+	case result := <-t.Done:
+		return result
+	case <-ctx.Done():
+	}
+	if h.Dispatcher.Cancel(t) {
+		return dispatchcmd.Abandoned(t)
+	}
+	// A worker holds the request and the response writer. Its exchange ends with the context.
+	return <-t.Done
+}
+
+// finish logs the result and writes a refusal if no response was delivered. It aborts the connection of a response that
+// could not be completed, so that the caller cannot take it for whole.
+func (h *Handler) finish(w http.ResponseWriter, q request, result table.Result) {
+	h.logResult(q, result)
+	if result.Aborted {
+		panic(http.ErrAbortHandler)
+	}
+	if !result.Response {
+		h.writeRefusal(w, q, result)
+	}
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, q request, result table.Result) {
+	h.logResult(q, result)
+	h.writeRefusal(w, q, result)
+}
+
+func (h *Handler) writeRefusal(w http.ResponseWriter, q request, result table.Result) {
+	header := w.Header()
+	header.Set(api.HeaderOutcome, string(result.Outcome))
+	header.Set(api.HeaderRequestID, q.ID)
+	header.Set("Content-Type", "application/json")
+	status := refusalStatus(result)
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		header.Set("Retry-After", retryAfter(result.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(api.Refusal{
+		Outcome: string(result.Outcome), Reason: reason(result.Err), RequestID: q.ID,
+	})
+}
+
+// retryAfter rounds up to whole seconds, because the header has no finer unit.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		d = defaultRetryAfter
+	}
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+func reason(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func refusalStatus(result table.Result) int {
+	if result.Outcome == fleet.Unknown {
+		return http.StatusGatewayTimeout
+	}
+	status := http.StatusServiceUnavailable
+	var unauthorized UnauthorizedError
+	var route RouteError
+	var forbidden ForbiddenError
+	var timeout TimeoutError
+	switch {
+	case errors.As(result.Err, &unauthorized):
+		status = http.StatusUnauthorized
+	case errors.As(result.Err, &route):
+		status = http.StatusNotFound
+	case errors.As(result.Err, &forbidden):
+		status = http.StatusForbidden
+	case errors.As(result.Err, &timeout):
+		status = http.StatusBadRequest
+	}
+	return status
+}
+
+func (h *Handler) logResult(q request, result table.Result) {
+	event := h.Log.Info()
+	if result.Err != nil {
+		event = h.Log.Warn().AnErr("error", result.Err)
+	}
+	event.Str("request-id", q.ID).
+		Str("tenant", q.Tenant.Name).
+		Str("service", q.Route.Service).
+		Str("route", q.Route.Name).
+		Str("rank", q.Route.Rank).
+		Str("outcome", string(result.Outcome)).
+		Int("status", result.Status).
+		Dur("duration-ms", time.Since(q.Arrived)).
+		Msg("request finished")
+}
