--- /dev/null
+++ b/pkg/keyquery/keyquery.go
@@ -0,0 +1,30 @@
+// Package keyquery reads the Keys table.
+package keyquery
+
+import (
+	"egretline.example/egretline/pkg/decide/once"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Queries reads the Keys table of one node.
+type Queries struct {
+	Tables *table.Tables
+}
+
+// Usage is the size of the Keys table.
+type Usage struct {
+	Entries int
+	Running int
+	// Bytes is an estimate of the memory of the table.
+	Bytes int
+}
+
+// Usage returns the size of the Keys table.
+func (q *Queries) Usage() Usage {
+	var u Usage
+	q.Tables.Keys.Read(guard.Held{}, func(_ guard.Held, k *table.Keys) {
+		u = Usage{Entries: len(k.Once.Entries), Running: len(k.Finished), Bytes: once.Bytes(&k.Once)}
+	})
+	return u
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -29,6 +29,7 @@
 	Members  *guard.Guard[Members]
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
+	Keys     *guard.Guard[Keys]
 }
 
 // New returns empty tables for the node on the given host.
@@ -38,6 +39,7 @@
 		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
 		Backends: guard.New(RankBackends, Backends{Services: map[string]map[string]*Backend{}}),
 		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
+		Keys:     guard.New(RankKeys, newKeys()),
 	}
 }
 
--- a/service/api/api.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package api holds the JSON messages between the processes of the fleet, the platform and operators. It has no logic.
-package api
