--- a/cmd/egretline-standin/cmds/cmds.go
+++ b/cmd/egretline-standin/cmds/cmds.go
@@ -25,5 +25,6 @@
 func all() []subcommands.Command {
 	return []subcommands.Command{
 		&hosts{},
+		&backends{},
 	}
 }
