--- a/cmd/egretline-standin/cmds/cmds.go
+++ b/cmd/egretline-standin/cmds/cmds.go
@@ -23,5 +23,7 @@
 }
 
 func all() []subcommands.Command {
-	return []subcommands.Command{}
+	return []subcommands.Command{
+		&logService{},
+	}
 }
