--- a/cmd/egretline-standin/cmds/backends.go
+++ b/cmd/egretline-standin/cmds/backends.go
@@ -18,9 +18,6 @@
 	"egretline.example/egretline/pkg/standin/backendservice"
 )
 
-// readHeaderTimeout bounds how long a connection may take to send its request headers.
-const readHeaderTimeout = 10 * time.Second
-
 // ListenRangeError reports a --listen value that is neither IP:port nor IP:first-last.
 type ListenRangeError struct {
 	Value string
