--- a/cmd/egretline-standin/cmds/hosts.go
+++ b/cmd/egretline-standin/cmds/hosts.go
@@ -16,8 +16,6 @@
 	"egretline.example/egretline/service/api"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 type hosts struct {
 	listen string
 	file   string
