Assemble the request path from a caller to a backend server in processes

Cause: the path has to run end to end before its decisions are filled in. Change: node wiring (listeners, exchange pool, scheduler with control pool, log follower, host list job, graceful drain) and the serve command.

--- a/cmd/egretline/cmds/command/register.go
+++ b/cmd/egretline/cmds/command/register.go
@@ -13,5 +13,7 @@
 }
 
 func all() []subcommands.Command {
-	return []subcommands.Command{}
+	return []subcommands.Command{
+		&serve{},
+	}
 }
--- /dev/null
+++ b/service/node/config.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/service/hostlist"
+)
+
+const (
+	// configPoll is how long one read of the log waits for a record.
+	configPoll = 4 * time.Second
+	// configRetry is the wait after a failed read of the log.
+	configRetry = time.Second
+	// hostListPeriod is the time between two fetches of the host list. Heartbeats report changes sooner.
+	hostListPeriod = 2 * time.Second
+)
+
+func (n *Node) periodic() []*job {
+	return []*job{
+		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
+	}
+}
+
+// followConfig reads the log until the context ends, and brings the Backends table in line after each change.
+func (n *Node) followConfig(ctx context.Context) {
+	var revision int64 = -1
+	for ctx.Err() == nil {
+		err := n.follower.Poll(ctx, configPoll)
+		if c := n.Config.Current(); c != nil && c.Revision != revision {
+			revision = c.Revision
+			n.syncBackends(c)
+			n.Log.Info().Int64("revision", revision).Msg("configuration is in force")
+		}
+		if err != nil && ctx.Err() == nil {
+			n.Log.Warn().Err(err).Msg("cannot read the configuration log; retrying")
+			wait(ctx, configRetry)
+		}
+	}
+}
+
+func (n *Node) syncBackends(c *fleet.Configuration) {
+	now := time.Now()
+	n.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for name, s := range c.Services {
+			servers := b.Services[name]
+			if servers == nil {
+				servers = map[string]*table.Backend{}
+				b.Services[name] = servers
+			}
+			for _, server := range s.BackendServers {
+				if servers[server.Address] == nil {
+					servers[server.Address] = &table.Backend{
+						Server: server, FirstSeen: now, InFlight: map[string]table.InFlight{},
+					}
+				}
+			}
+		}
+	})
+}
+
+func (n *Node) hostListJob() func(ctx context.Context) {
+	var previous hostlist.List
+	return func(ctx context.Context) {
+		list, err := n.hosts.Fetch(ctx, previous)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.Log.Warn().Err(err).Msg("cannot fetch the host list")
+			}
+			return
+		}
+		previous = list
+		n.members.AdoptHostList(list.Hosts, time.Now())
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/service/node/node.go
@@ -0,0 +1,175 @@
+// Package node wires the parts of one node: listeners, worker pools, periodic jobs and clients of the platform.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/pkg/configcmd"
+	"egretline.example/egretline/pkg/configquery"
+	"egretline.example/egretline/pkg/dispatchcmd"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/membercmd"
+	"egretline.example/egretline/pkg/memberquery"
+	"egretline.example/egretline/pkg/settings"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/service/backend"
+	"egretline.example/egretline/service/caller"
+	"egretline.example/egretline/service/hostlist"
+	"egretline.example/egretline/service/platformlog"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// platformTimeout bounds one request to the log or the host list. It is longer than the long poll of the log.
+	platformTimeout = 15 * time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	Settings   settings.Settings
+	Tables     *table.Tables
+	Config     configquery.Query
+	Members    *memberquery.Queries
+	Dispatcher *dispatchcmd.Dispatcher
+	Log        zerolog.Logger
+
+	follower  *configcmd.Follower
+	members   *membercmd.Commands
+	hosts     *hostlist.Client
+	transport *http.Transport
+	jobs      *scheduler
+	servers   []*server
+	failed    chan error
+}
+
+// server is one listener and the HTTP server on it.
+type server struct {
+	Name     string
+	Listener net.Listener
+	HTTP     *http.Server
+}
+
+// New returns a node that does not serve yet. It returns a wrapped net error if an address cannot be bound.
+func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+	self := fleet.Host{
+		ID: s.HostID, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+	}
+	t := table.New(self, rand.Text())
+	platform := &http.Client{Timeout: platformTimeout}
+	n := &Node{
+		Settings:   s,
+		Tables:     t,
+		Config:     configquery.Query{Config: t.Config},
+		Members:    &memberquery.Queries{Tables: t},
+		Dispatcher: dispatchcmd.New(t, s.ExchangeWorkers),
+		Log:        log,
+		follower: &configcmd.Follower{
+			Log: platformlog.New(s.LogURL, platform), Config: t.Config, Logger: log,
+		},
+		members:   &membercmd.Commands{Tables: t},
+		hosts:     &hostlist.Client{URL: s.HostListURL, HTTP: platform},
+		transport: backend.NewTransport(),
+		failed:    make(chan error, 1),
+	}
+	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	bind := []struct {
+		name    string
+		address string
+		handler http.Handler
+	}{
+		{"caller", n.Settings.CallerAddress, n.callerMux()},
+		{"operator", n.Settings.OperatorAddress, n.operatorMux()},
+	}
+	for _, b := range bind {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", b.address)
+		if err != nil {
+			n.closeServers()
+			return eris.Wrapf(err, "bind %s listener", b.name)
+		}
+		n.servers = append(n.servers, &server{
+			Name: b.name, Listener: l, HTTP: &http.Server{Handler: b.handler, ReadHeaderTimeout: readHeaderTimeout},
+		})
+	}
+	return nil
+}
+
+func (n *Node) callerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", caller.New(n.Config, n.Dispatcher, n.transport, n.Log))
+	return mux
+}
+
+// Run serves until the context ends, then drains. It returns the error of a listener that failed.
+func (n *Node) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var done sync.WaitGroup
+	done.Go(func() { n.followConfig(background) })
+	done.Go(func() { n.jobs.run(background) })
+	for _, s := range n.servers {
+		go n.serve(s)
+	}
+	n.Log.Info().Str("caller-address", n.Settings.CallerAddress).Msg("node is serving")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = n.drain()
+	case err = <-n.failed:
+	}
+	stop()
+	done.Wait()
+	n.closeServers()
+	n.Dispatcher.Close()
+	n.transport.CloseIdleConnections()
+	return err
+}
+
+func (n *Node) serve(s *server) {
+	err := s.HTTP.Serve(s.Listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		select {
+		case n.failed <- eris.Wrapf(err, "serve %s listener", s.Name):
+		default:
+		}
+	}
+}
+
+// drain marks the node as leaving, serves on for the grace period, and then waits for the requests in flight.
+func (n *Node) drain() error {
+	n.members.SetLeaving()
+	n.Log.Info().Dur("grace-ms", n.Settings.DrainGrace.Duration).Msg("node is leaving")
+	grace := time.NewTimer(n.Settings.DrainGrace.Duration)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case err := <-n.failed:
+		return err
+	}
+	for _, s := range n.servers {
+		if err := s.HTTP.Shutdown(context.Background()); err != nil {
+			return eris.Wrapf(err, "shut down %s listener", s.Name)
+		}
+	}
+	n.Log.Info().Msg("node has drained")
+	return nil
+}
+
+func (n *Node) closeServers() {
+	for _, s := range n.servers {
+		_ = s.HTTP.Close()
+		_ = s.Listener.Close()
+	}
+}
--- /dev/null
+++ b/service/node/operator.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"net/http"
+	"net/http/pprof"
+)
+
+func (n *Node) operatorMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", n.ready)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// ready reports whether callers should be sent to this node: it has a configuration and is not leaving.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	self, _ := n.Members.Self()
+	if n.Config.Current() == nil || self.Leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
