--- a/service/node/node.go
+++ b/service/node/node.go
@@ -58,8 +58,13 @@
 	HTTP     *http.Server
 }
 
-// New returns a node that does not serve yet. It returns a wrapped net error if an address cannot be bound.
+// New returns a node that does not serve yet. Port 0 in an address of the settings is replaced by the port that was
+// bound. It returns a wrapped net error if an address cannot be bound.
 func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+	servers, err := bind(&s)
+	if err != nil {
+		return nil, err
+	}
 	self := fleet.Host{
 		ID: s.HostID, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
@@ -82,29 +87,41 @@
 		failed:    make(chan error, 1),
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
-	return n, n.listen()
+	n.servers = servers
+	n.handle("caller", n.callerMux())
+	n.handle("operator", n.operatorMux())
+	return n, nil
 }
 
-func (n *Node) listen() error {
-	bind := []struct {
+// bind opens the listeners and writes the addresses that were bound back to the settings.
+func bind(s *settings.Settings) ([]*server, error) {
+	var servers []*server
+	for _, b := range []struct {
 		name    string
-		address string
-		handler http.Handler
+		address *string
 	}{
-		{"caller", n.Settings.CallerAddress, n.callerMux()},
-		{"operator", n.Settings.OperatorAddress, n.operatorMux()},
-	}
-	for _, b := range bind {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", b.address)
+		{"caller", &s.CallerAddress},
+		{"operator", &s.OperatorAddress},
+	} {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", *b.address)
 		if err != nil {
-			n.closeServers()
-			return eris.Wrapf(err, "bind %s listener", b.name)
+			closeServers(servers)
+			return nil, eris.Wrapf(err, "bind %s listener", b.name)
 		}
-		n.servers = append(n.servers, &server{
-			Name: b.name, Listener: l, HTTP: &http.Server{Handler: b.handler, ReadHeaderTimeout: readHeaderTimeout},
+		*b.address = l.Addr().String()
+		servers = append(servers, &server{
+			Name: b.name, Listener: l, HTTP: &http.Server{ReadHeaderTimeout: readHeaderTimeout},
 		})
 	}
-	return nil
+	return servers, nil
+}
+
+func (n *Node) handle(name string, h http.Handler) {
+	for _, s := range n.servers {
+		if s.Name == name {
+			s.HTTP.Handler = h
+		}
+	}
 }
 
 func (n *Node) callerMux() http.Handler {
@@ -131,7 +148,7 @@
 	}
 	stop()
 	done.Wait()
-	n.closeServers()
+	closeServers(n.servers)
 	n.Dispatcher.Close()
 	n.transport.CloseIdleConnections()
 	return err
@@ -167,8 +184,8 @@
 	return nil
 }
 
-func (n *Node) closeServers() {
-	for _, s := range n.servers {
+func closeServers(servers []*server) {
+	for _, s := range servers {
 		_ = s.HTTP.Close()
 		_ = s.Listener.Close()
 	}
