--- /dev/null
+++ b/pkg/configfile/build.go
@@ -0,0 +1,93 @@
+package configfile
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// DefaultTimeout bounds requests of a route that states no timeout.
+const DefaultTimeout = 10 * time.Second
+
+func build(name string, d document) fleet.File {
+	f := fleet.File{Name: name}
+	for _, r := range d.Ranks {
+		f.Ranks = append(f.Ranks, rank(r))
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.Services)) {
+		f.Services = append(f.Services, service(key, d.Services[key]))
+	}
+	for _, r := range d.Routes {
+		f.Routes = append(f.Routes, route(r))
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.Tenants)) {
+		f.Tenants = append(f.Tenants, tenant(key, d.Tenants[key]))
+	}
+	return f
+}
+
+func rank(r rankEntry) fleet.Rank {
+	built := fleet.Rank(r)
+	if built.SlotLimit == 0 {
+		built.SlotLimit = 1
+	}
+	return built
+}
+
+func service(name string, s serviceEntry) fleet.Service {
+	built := fleet.Service{
+		Name:       name,
+		Region:     s.Region,
+		Floor:      s.Floor,
+		GroupSize:  s.GroupSize,
+		Preference: fleet.Preference(s.Preference),
+		ColdStart:  duration(s.ColdStart),
+	}
+	if built.Preference == "" {
+		built.Preference = fleet.Balanced
+	}
+	for _, b := range s.BackendServers {
+		built.BackendServers = append(built.BackendServers, fleet.BackendServer(b))
+	}
+	return built
+}
+
+func route(r routeEntry) fleet.Route {
+	built := fleet.Route{
+		Name:       r.Name,
+		Service:    r.Service,
+		Method:     r.Method,
+		PathPrefix: r.PathPrefix,
+		Rank:       r.Rank,
+		Idempotent: r.Idempotent,
+		Timeout:    duration(r.Timeout),
+	}
+	if built.Timeout <= 0 {
+		built.Timeout = DefaultTimeout
+	}
+	return built
+}
+
+func tenant(name string, t tenantEntry) fleet.Tenant {
+	return fleet.Tenant{
+		Name:        name,
+		TokenSHA256: t.TokenSHA256,
+		Services:    t.Services,
+		Limits: fleet.Limits{
+			RequestsPerSecond: t.RequestsPerSecond,
+			Burst:             t.Burst,
+			InFlight:          t.InFlight,
+		},
+	}
+}
+
+// duration returns zero for a value that is not a duration.
+func duration(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return 0
+	}
+	return d
+}
--- a/pkg/configfile/decode.go
+++ b/pkg/configfile/decode.go
@@ -1,100 +1,81 @@
-// Package configfile decodes configuration files (TOML) and merges them into the configuration that requests use.
+// Package configfile decodes configuration files (TOML), checks them, and merges them into the configuration that
+// requests use.
 package configfile
 
 import (
 	"bytes"
-	"maps"
-	"slices"
-	"time"
+	"errors"
+	"regexp"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/rotisserie/eris"
 
 	"egretline.example/egretline/pkg/fleet"
 )
 
-// Decode returns the configuration file of that name.
-func Decode(name string, contents []byte) (fleet.File, error) {
-	var d document
-	decoder := toml.NewDecoder(bytes.NewReader(contents)).DisallowUnknownFields()
-	if err := decoder.Decode(&d); err != nil {
-		return fleet.File{}, eris.Wrap(err, name)
-	}
-	return build(name, d), nil
-}
-
-func build(name string, d document) fleet.File {
-	f := fleet.File{Name: name}
-	for _, r := range d.Ranks {
-		f.Ranks = append(f.Ranks, fleet.Rank(r))
-	}
-	for _, key := range slices.Sorted(maps.Keys(d.Services)) {
-		f.Services = append(f.Services, service(key, d.Services[key]))
-	}
-	for _, r := range d.Routes {
-		f.Routes = append(f.Routes, route(r))
-	}
-	for _, key := range slices.Sorted(maps.Keys(d.Tenants)) {
-		f.Tenants = append(f.Tenants, tenant(key, d.Tenants[key]))
-	}
-	return f
-}
+// fileName is the form of the names of configuration files. They appear in log lines and URLs.
+var fileName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,99}\.toml$`)
 
-func service(name string, s serviceEntry) fleet.Service {
-	built := fleet.Service{
-		Name:       name,
-		Region:     s.Region,
-		Floor:      s.Floor,
-		GroupSize:  s.GroupSize,
-		Preference: fleet.Preference(s.Preference),
-		ColdStart:  duration(s.ColdStart),
+// Decode returns the configuration file of that name if it passes the strict check, and RefusedError otherwise.
+func Decode(name string, contents []byte) (fleet.File, error) {
+	c := &checker{file: name}
+	if !fileName.MatchString(name) {
+		add[NameError](c, "", "bad file name",
+			"use lower-case letters, digits, dots and hyphens, and end in .toml")
+		return fleet.File{}, c.refusal()
 	}
-	if built.Preference == "" {
-		built.Preference = fleet.Balanced
+	var d document
+	err := toml.NewDecoder(bytes.NewReader(contents)).DisallowUnknownFields().Decode(&d)
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		c.lines = locate(contents)
+		c.unknownKeys(unknown)
+	} else if err != nil {
+		c.syntax(err)
+		return fleet.File{}, c.refusal()
 	}
-	for _, b := range s.BackendServers {
-		built.BackendServers = append(built.BackendServers, fleet.BackendServer(b))
+	c.lines = locate(contents)
+	c.document(d)
+	if len(c.faults) > 0 {
+		return fleet.File{}, c.refusal()
 	}
-	return built
+	return build(name, d), nil
 }
 
-func route(r routeEntry) fleet.Route {
-	built := fleet.Route{
-		Name:       r.Name,
-		Service:    r.Service,
-		Method:     r.Method,
-		PathPrefix: r.PathPrefix,
-		Rank:       r.Rank,
-		Idempotent: r.Idempotent,
-		Timeout:    duration(r.Timeout),
-	}
-	if built.Timeout <= 0 {
-		built.Timeout = DefaultTimeout
+// DecodeAccepted returns a file that the log has accepted. It ignores unknown keys and faults other than of syntax,
+// because the file passed the check of the node that took it, which may run a newer version. It returns a problem if the
+// text is not TOML.
+func DecodeAccepted(name string, contents []byte) (fleet.File, *fleet.Problem) {
+	var d document
+	if err := toml.Unmarshal(contents, &d); err != nil {
+		c := &checker{file: name}
+		c.syntax(err)
+		problem := c.faults[0].Detail()
+		return fleet.File{}, &problem
 	}
-	return built
+	return build(name, d), nil
 }
 
-func tenant(name string, t tenantEntry) fleet.Tenant {
-	return fleet.Tenant{
-		Name:        name,
-		TokenSHA256: t.TokenSHA256,
-		Services:    t.Services,
-		Limits: fleet.Limits{
-			RequestsPerSecond: t.RequestsPerSecond,
-			Burst:             t.Burst,
-			InFlight:          t.InFlight,
-		},
+func (c *checker) syntax(err error) {
+	line, key, message := 0, "", err.Error()
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ = decode.Position()
+		key = strings.Join(decode.Key(), ".")
+		message = strings.TrimPrefix(decode.Error(), "toml: ")
 	}
+	c.faults = append(c.faults, SyntaxError{fleet.Problem{
+		File: c.file, Line: line, Key: key, Message: message,
+		Remedy: "write valid TOML with the value types of examples/tulpar.toml",
+	}})
 }
 
-// DefaultTimeout bounds requests of a route that states no timeout.
-const DefaultTimeout = 10 * time.Second
-
-// duration returns zero for a value that is not a duration.
-func duration(s string) time.Duration {
-	d, err := time.ParseDuration(s)
-	if err != nil {
-		return 0
+func (c *checker) unknownKeys(unknown *toml.StrictMissingError) {
+	for i := range unknown.Errors {
+		e := &unknown.Errors[i]
+		line, _ := e.Position()
+		c.faults = append(c.faults, UnknownKeyError{fleet.Problem{
+			File: c.file, Line: line, Key: strings.Join(e.Key(), "."), Message: "unknown key", Remedy: allowed(e.Key()),
+		}})
 	}
-	return d
 }
--- a/pkg/configfile/merge.go
+++ b/pkg/configfile/merge.go
@@ -2,48 +2,114 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"egretline.example/egretline/pkg/fleet"
 )
 
 // Merge combines the files. It does not depend on their order, so that every node compiles the same configuration. If
-// two files define the same name, the definition in the file whose name sorts first is used.
+// two files define the same name, the definition in the file whose name sorts first is used. A route whose service or
+// rank no file defines stays in place with a Refusal, so that its requests do not fall through to a less specific route.
 func Merge(files []fleet.File) *fleet.Configuration {
-	c := &fleet.Configuration{Services: map[string]fleet.Service{}, Tenants: map[string]fleet.Tenant{}}
+	m := merger{
+		configuration: &fleet.Configuration{Services: map[string]fleet.Service{}, Tenants: map[string]fleet.Tenant{}},
+		origin:        map[string]string{},
+	}
 	sorted := slices.SortedFunc(slices.Values(files), func(a, b fleet.File) int { return cmp.Compare(a.Name, b.Name) })
 	for _, f := range sorted {
-		mergeRanks(c, f)
-		mergeServices(c, f)
-		c.Routes = append(c.Routes, f.Routes...)
-		mergeTenants(c, f)
+		m.definitions(f)
+	}
+	for _, f := range sorted {
+		m.references(f)
 	}
+	m.shares()
+	c := m.configuration
 	slices.SortStableFunc(c.Routes, func(a, b fleet.Route) int {
 		return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
 	})
 	return c
 }
 
-func mergeRanks(c *fleet.Configuration, f fleet.File) {
+type merger struct {
+	configuration *fleet.Configuration
+	// origin is the file that defines each rank, service, route and tenant, by kind and name.
+	origin map[string]string
+}
+
+func (m *merger) definitions(f fleet.File) {
+	c := m.configuration
 	for _, r := range f.Ranks {
-		if !slices.ContainsFunc(c.Ranks, func(o fleet.Rank) bool { return o.Name == r.Name }) {
+		if m.first(f.Name, "rank", r.Name) {
 			c.Ranks = append(c.Ranks, r)
 		}
 	}
-}
-
-func mergeServices(c *fleet.Configuration, f fleet.File) {
 	for _, s := range f.Services {
-		if _, defined := c.Services[s.Name]; !defined {
+		if m.first(f.Name, "service", s.Name) {
 			c.Services[s.Name] = s
 		}
 	}
+	for _, t := range f.Tenants {
+		if m.first(f.Name, "tenant", t.Name) && m.first(f.Name, "token hash of tenant", t.TokenSHA256) {
+			c.Tenants[t.TokenSHA256] = t
+		}
+	}
 }
 
-func mergeTenants(c *fleet.Configuration, f fleet.File) {
+// first says whether the definition is the first of its kind and name, and reports it otherwise.
+func (m *merger) first(file, kind, name string) bool {
+	key := kind + " " + name
+	if origin, defined := m.origin[key]; defined {
+		m.problem(file, key, "already defined in "+origin, "remove one of the two; the one in "+origin+" is in force")
+		return false
+	}
+	m.origin[key] = file
+	return true
+}
+
+func (m *merger) references(f fleet.File) {
+	c := m.configuration
+	for _, r := range f.Routes {
+		if !m.first(f.Name, "route", r.Name) || !m.first(f.Name, "route for", r.Method+" "+r.PathPrefix) {
+			continue
+		}
+		r.Refusal = m.refusal(r)
+		if r.Refusal != "" {
+			m.problem(f.Name, "route "+r.Name, r.Refusal, "define it in a file, or change the route; until then the route refuses")
+		}
+		c.Routes = append(c.Routes, r)
+	}
 	for _, t := range f.Tenants {
-		if _, defined := c.Tenants[t.TokenSHA256]; !defined {
-			c.Tenants[t.TokenSHA256] = t
+		for _, s := range t.Services {
+			if _, defined := c.Services[s]; !defined {
+				m.problem(f.Name, "tenant "+t.Name, fmt.Sprintf("no file defines service %q", s), "define it in a file, or remove it here")
+			}
 		}
 	}
 }
+
+func (m *merger) refusal(r fleet.Route) string {
+	if _, defined := m.configuration.Services[r.Service]; !defined {
+		return fmt.Sprintf("no file defines service %q", r.Service)
+	}
+	if !slices.ContainsFunc(m.configuration.Ranks, func(k fleet.Rank) bool { return k.Name == r.Rank }) {
+		return fmt.Sprintf("no file defines rank %q", r.Rank)
+	}
+	return ""
+}
+
+func (m *merger) shares() {
+	sum := 0.0
+	for _, r := range m.configuration.Ranks {
+		sum += r.Share
+	}
+	if sum > 1+shareTolerance {
+		m.problem("all files", "rank", fmt.Sprintf("shares of all ranks add up to %.4g", sum), "lower the shares until they add up to 1 or less")
+	}
+}
+
+func (m *merger) problem(file, key, message, remedy string) {
+	m.configuration.Problems = append(m.configuration.Problems, fleet.Problem{
+		File: file, Key: key, Message: message, Remedy: remedy,
+	})
+}
--- a/pkg/configfile/schema.go
+++ b/pkg/configfile/schema.go
@@ -1,5 +1,10 @@
 package configfile
 
+import (
+	"reflect"
+	"strings"
+)
+
 // document is the TOML form of a configuration file.
 type document struct {
 	Ranks    []rankEntry             `toml:"rank"`
@@ -47,3 +52,26 @@
 	Burst             int      `toml:"burst"`
 	InFlight          int      `toml:"in-flight"`
 }
+
+// allowed names the keys that may stand where the unknown key is.
+func allowed(key []string) string {
+	var entry any = document{}
+	switch {
+	case len(key) < 2:
+	case key[0] == "rank":
+		entry = rankEntry{}
+	case key[0] == "route":
+		entry = routeEntry{}
+	case key[0] == "tenant":
+		entry = tenantEntry{}
+	case key[0] == "service" && len(key) > 3 && key[2] == "backend-server":
+		entry = serverEntry{}
+	case key[0] == "service":
+		entry = serviceEntry{}
+	}
+	var names []string
+	for f := range reflect.TypeOf(entry).Fields() {
+		names = append(names, f.Tag.Get("toml"))
+	}
+	return "use one of " + strings.Join(names, ", ")
+}
--- a/pkg/decide/fold/fold.go
+++ b/pkg/decide/fold/fold.go
@@ -2,7 +2,17 @@
 // that reads the same records in offset order reaches the same state, without agreement between nodes.
 package fold
 
-import "maps"
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+)
+
+// MaxDecisions is the number of apply IDs whose verdict is remembered. At 820 changes a day it covers more than a day,
+// and an operator resolves a lost reply within minutes. A forgotten ID cannot be accepted twice: its base is below the
+// revision that its first acceptance gave the file.
+const MaxDecisions = 1024
 
 // Apply is a request of an operator to replace one configuration file.
 type Apply struct {
@@ -30,10 +40,36 @@
 	Conflict Verdict = "conflict"
 )
 
-// Decision is the verdict on one apply ID and the file revision after it.
+// Decision is the verdict on one apply ID and what it rests on.
 type Decision struct {
-	Verdict  Verdict
+	Verdict Verdict
+	File    string
+	// Base is the revision that the operator saw.
+	Base int64
+	// Revision is the revision of the file after the decision.
 	Revision int64
+	// Offset is the log offset of the record that was decided.
+	Offset int64
+	// Digest identifies the file name and contents that the decision was about.
+	Digest string
+}
+
+// Reason says in words why the verdict was given.
+func Reason(d Decision) string {
+	switch {
+	case d.Verdict == Accepted:
+		return fmt.Sprintf("%s was at revision %d, as the apply expected", d.File, d.Base)
+	case d.Revision == 0:
+		return fmt.Sprintf("%s does not exist, and the apply was made for revision %d of it", d.File, d.Base)
+	default:
+		return fmt.Sprintf("%s is at revision %d, and the apply was made for revision %d", d.File, d.Revision, d.Base)
+	}
+}
+
+// Digest returns a digest of the file name and the contents.
+func Digest(file string, contents []byte) string {
+	sum := sha256.Sum256([]byte(file + "\x00" + string(contents)))
+	return hex.EncodeToString(sum[:16])
 }
 
 // State is the folded configuration.
@@ -41,26 +77,77 @@
 	// Next is the offset of the first record that the state does not cover.
 	Next int64
 	// Revision is the highest revision of all files.
-	Revision  int64
-	Files     map[string]File
+	Revision int64
+	Files    map[string]File
+	// Decisions is keyed by apply ID and holds the newest MaxDecisions.
 	Decisions map[string]Decision
 }
 
-// Step returns the state after the apply record at the offset. It does not change s.
-func Step(s State, offset int64, a Apply) State {
+// GapError reports a record whose predecessors the state does not cover. Folding it would give a state that differs
+// from that of the readers that saw the missing records.
+type GapError struct {
+	Next   int64
+	Offset int64
+}
+
+func (e GapError) Error() string {
+	return fmt.Sprintf("records %d to %d are missing", e.Next, e.Offset-1)
+}
+
+// Step returns the state after the apply record at the offset. It does not change s. A record that s covers already
+// changes nothing. It returns GapError if records before the offset are missing.
+func Step(s State, offset int64, a Apply) (State, error) {
+	if offset < s.Next {
+		return s, nil
+	}
+	if offset > s.Next {
+		return s, GapError{Next: s.Next, Offset: offset}
+	}
 	s.Next = offset + 1
 	if _, seen := s.Decisions[a.ID]; seen {
-		return s
+		return s, nil
+	}
+	d := decide(s, offset, a)
+	if d.Verdict == Accepted {
+		s.Revision = d.Revision
+		s.Files = withEntry(s.Files, a.File, File{Revision: d.Revision, Contents: a.Contents})
+	}
+	s.Decisions = withEntry(s.Decisions, a.ID, d)
+	if len(s.Decisions) > MaxDecisions {
+		delete(s.Decisions, oldest(s.Decisions))
+	}
+	return s, nil
+}
+
+// Skip returns the state after a record that is not an apply. It returns GapError as Step does.
+func Skip(s State, offset int64) (State, error) {
+	if offset > s.Next {
+		return s, GapError{Next: s.Next, Offset: offset}
 	}
-	current := s.Files[a.File]
-	decision := Decision{Verdict: Conflict, Revision: current.Revision}
-	if a.Base == current.Revision {
-		decision = Decision{Verdict: Accepted, Revision: offset + 1}
-		s.Revision = offset + 1
-		s.Files = withEntry(s.Files, a.File, File{Revision: offset + 1, Contents: a.Contents})
+	s.Next = max(s.Next, offset+1)
+	return s, nil
+}
+
+func decide(s State, offset int64, a Apply) Decision {
+	current := s.Files[a.File].Revision
+	d := Decision{
+		Verdict: Conflict, File: a.File, Base: a.Base, Revision: current, Offset: offset, Digest: Digest(a.File, a.Contents),
+	}
+	if a.Base == current {
+		d.Verdict = Accepted
+		d.Revision = offset + 1
+	}
+	return d
+}
+
+func oldest(decisions map[string]Decision) string {
+	id, offset := "", int64(-1)
+	for k, d := range decisions {
+		if offset < 0 || d.Offset < offset {
+			id, offset = k, d.Offset
+		}
 	}
-	s.Decisions = withEntry(s.Decisions, a.ID, decision)
-	return s
+	return id
 }
 
 func withEntry[V any](m map[string]V, key string, v V) map[string]V {
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -2,7 +2,10 @@
 // outcomes of requests. It has no behavior beyond small lookups, so that any front end can use it.
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Preference shifts the balance between fast detection and few false ejections for a service.
 type Preference string
@@ -57,6 +60,9 @@
 	Idempotent bool
 	// Timeout bounds all attempts of one request together.
 	Timeout time.Duration
+	// Refusal says why requests of the route are refused as not run. It is empty if the route can be served. Merging sets
+	// it for a route whose service or rank no file defines.
+	Refusal string
 }
 
 // Limits bounds what one tenant may ask of one node. Zero means no limit.
@@ -95,4 +101,33 @@
 	Routes []Route
 	// Tenants is keyed by TokenSHA256.
 	Tenants map[string]Tenant
+	// Problems lists what merging found between the files.
+	Problems []Problem
+}
+
+// Problem is a fault in a configuration file, with its place and remedy.
+type Problem struct {
+	File string
+	// Line starts at 1; zero if the fault has no place in the text.
+	Line int
+	// Key is the dotted key, such as service.bookdesk.floor.
+	Key     string
+	Message string
+	// Remedy says what to write instead.
+	Remedy string
+}
+
+// Detail returns the problem itself, so that error types that embed it give access to it.
+func (p Problem) Detail() Problem { return p }
+
+// Error returns the place, the fault and the remedy in one line.
+func (p Problem) Error() string {
+	place := p.File
+	if p.Line > 0 {
+		place += ":" + strconv.Itoa(p.Line)
+	}
+	if p.Key != "" {
+		place += ": " + p.Key
+	}
+	return place + ": " + p.Message + "; " + p.Remedy
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -46,6 +46,21 @@
 	Fold fold.State
 	// Compiled is replaced as a whole and never changed in place, so that readers may keep it.
 	Compiled *fleet.Configuration
+	// Decoded is the decoded form of the files by name. It is replaced as a whole, and saves decoding all files again when
+	// one changes.
+	Decoded map[string]DecodedFile
+	// Snapshot is the newest snapshot of the fold that the node knows to be in the log.
+	Snapshot fold.Snapshot
+	// BehindSince is when a peer was first seen with a higher revision; zero if none has one.
+	BehindSince time.Time
+}
+
+// DecodedFile is one configuration file after decoding.
+type DecodedFile struct {
+	Revision int64
+	File     fleet.File
+	// Problem is set if the file cannot be decoded.
+	Problem *fleet.Problem
 }
 
 // Members is what the node knows of the hosts of the fleet.
