--- a/cmd/egretline-standin/cmds/log.go
+++ b/cmd/egretline-standin/cmds/log.go
@@ -6,16 +6,12 @@
 	"fmt"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/google/subcommands"
 
 	"egretline.example/egretline/pkg/standin/logservice"
 )
 
-// headerTimeout bounds how long a client may take to send its request headers.
-const headerTimeout = 10 * time.Second
-
 type logService struct {
 	listen string
 	faults logservice.Faults
@@ -36,7 +32,7 @@
 
 func (l *logService) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	server := &http.Server{
-		Addr: l.listen, Handler: logservice.New(l.faults), ReadHeaderTimeout: headerTimeout,
+		Addr: l.listen, Handler: logservice.New(l.faults), ReadHeaderTimeout: readHeaderTimeout,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/pkg/configcmd/snapshot.go
+++ b/pkg/configcmd/snapshot.go
@@ -27,10 +27,10 @@
 
 // Members is the node's view of the fleet.
 type Members interface {
-	// Self returns the host of this node.
-	Self() fleet.Host
+	// Self returns the host and the incarnation of this node.
+	Self() (fleet.Host, string)
 	// Live returns the live hosts, with this one.
-	Live() []fleet.Host
+	Live(now time.Time) []fleet.Host
 }
 
 // Snapshotter appends snapshots of the folded state to the log while this node is the chosen one. Two nodes with different
@@ -56,8 +56,9 @@
 
 // Check appends a snapshot if this node is the chosen one and a snapshot is due. It is a periodic job.
 func (s *Snapshotter) Check(ctx context.Context, now time.Time) error {
-	owner, found := group.Owner(snapshotTask, s.Members.Live())
-	if !found || owner.ID != s.Members.Self().ID || !s.due(now) {
+	self, _ := s.Members.Self()
+	owner, found := group.Owner(snapshotTask, s.Members.Live(now))
+	if !found || owner.ID != self.ID || !s.due(now) {
 		return nil
 	}
 	// Another node may have appended one since this node last looked.
