--- /dev/null
+++ b/pkg/decide/detect/assert_test.go
@@ -0,0 +1,61 @@
+package detect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+var (
+	start    = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	normal   = Baseline{Latency: 20 * time.Millisecond}
+	balanced = SettingsOf(fleet.Service{ColdStart: 10 * time.Second})
+)
+
+// feed observes n equal samples, 100 ms apart.
+func feed(s *State, n int, x Sample, b Baseline, t Settings) {
+	now := start
+	for range n {
+		now = now.Add(100 * time.Millisecond)
+		Observe(s, x, b, t, now)
+	}
+}
+
+func request(e fleet.Evidence) Sample {
+	return Sample{Evidence: e, Latency: 20 * time.Millisecond}
+}
+
+func assertSuspected(t *testing.T, s *State, b Baseline, x Settings, want bool) {
+	t.Helper()
+	is := is.New(t)
+	own := Report{AvailabilityZone: "a", Excess: Excess(s, b)}
+	is.Equal(Judge(s, own, nil, x, start) != InUse, want)
+}
+
+func assertSum(t *testing.T, s *State, low, high float64) {
+	t.Helper()
+	is := is.New(t)
+	is.True(s.Sum >= low)
+	is.True(s.Sum <= high)
+}
+
+func assertScope(t *testing.T, got, want Scope) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got, want)
+}
+
+func assertHoldDown(t *testing.T, s *State, want time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(s.Ejection.HoldDown, want)
+}
+
+func assertEqual[T comparable](t *testing.T, got, want T) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(got, want)
+}
--- /dev/null
+++ b/pkg/decide/detect/ejection_test.go
@@ -0,0 +1,112 @@
+package detect
+
+import (
+	"testing"
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// Guards against a flapping server that returns too soon, and a repaired one that stays out too long.
+func TestHoldDown(t *testing.T) {
+	t.Run("doubles with each ejection up to the bound", func(t *testing.T) {
+		s := &State{}
+		now := start
+		for _, want := range []time.Duration{5, 10, 20, 40, 80, 160, 300, 300} {
+			Eject(s, Ejected, now)
+			assertHoldDown(t, s, want*time.Second)
+			now = s.Ejection.Until
+			Readmit(s, false, now)
+		}
+	})
+	t.Run("shrinks by half for each quiet minute", func(t *testing.T) {
+		s := &State{Ejection: Ejection{HoldDown: 80 * time.Second, Readmitted: start}}
+		Eject(s, Ejected, start.Add(2*time.Minute))
+		assertHoldDown(t, s, 40*time.Second)
+	})
+	t.Run("does not double after a readmission for the floor", func(t *testing.T) {
+		s := &State{}
+		Eject(s, Ejected, start)
+		Readmit(s, true, start.Add(time.Second))
+		Eject(s, Ejected, start.Add(2*time.Second))
+		assertHoldDown(t, s, 5*time.Second)
+	})
+}
+
+// Guards against readmission without proof, and against trial requests that never end.
+func TestTrials(t *testing.T) {
+	run := func(e fleet.Evidence, n int) *State {
+		s := &State{Sum: 20}
+		Eject(s, Ejected, start)
+		now := s.Ejection.Until
+		for range n {
+			StartTrial(s, "t")
+			x := request(e)
+			x.Ticket = "t"
+			Observe(s, x, normal, balanced, now)
+		}
+		return s
+	}
+	t.Run("due only after the hold-down and one at a time", func(t *testing.T) {
+		s := run(fleet.Succeeded, 0)
+		assertEqual(t, TrialDue(s, start.Add(time.Second)), false)
+		assertEqual(t, TrialDue(s, s.Ejection.Until), true)
+		StartTrial(s, "t")
+		assertEqual(t, TrialDue(s, s.Ejection.Until), false)
+	})
+	t.Run("two successes do not readmit", func(t *testing.T) {
+		assertEqual(t, Out(run(fleet.Succeeded, 2)), true)
+	})
+	t.Run("three successes readmit", func(t *testing.T) {
+		s := run(fleet.Succeeded, 3)
+		assertEqual(t, Out(s), false)
+		assertSum(t, s, 0, 0)
+	})
+	t.Run("a failure restarts a doubled hold-down", func(t *testing.T) {
+		s := run(fleet.Failed, 1)
+		assertHoldDown(t, s, 10*time.Second)
+		assertEqual(t, TrialDue(s, start.Add(6*time.Second)), false)
+	})
+	t.Run("a canceled trial allows another one", func(t *testing.T) {
+		s := run(fleet.Canceled, 1)
+		assertEqual(t, TrialDue(s, s.Ejection.Until), true)
+	})
+	t.Run("the result of an earlier request is no trial", func(t *testing.T) {
+		s := run(fleet.Succeeded, 0)
+		StartTrial(s, "t")
+		feed(s, 5, request(fleet.Succeeded), normal, balanced)
+		assertEqual(t, Out(s), true)
+	})
+}
+
+// Guards against one zone with a network fault that ejects servers for zones that reach them.
+func TestZones(t *testing.T) {
+	report := func(zone string, excess float64, age time.Duration) Report {
+		return Report{AvailabilityZone: zone, Excess: excess, LastFailure: start.Add(-age)}
+	}
+	x := balanced
+	for _, c := range []struct {
+		name  string
+		own   float64
+		peers []Report
+		want  Scope
+	}{
+		{"own zone alone avoids", x.Threshold, nil, Avoided},
+		{"a second member of the own zone does not widen", x.Threshold, []Report{report("a", 24, 0)}, Avoided},
+		{"one foreign zone is not enough", 0, []Report{report("b", 24, 0), report("b", 24, 0)}, InUse},
+		{"one foreign zone and one own failure are not enough", 3.2, []Report{report("b", 24, 0)}, InUse},
+		{"two foreign zones eject", 0, []Report{report("b", 6, 0), report("c", 6, 0)}, Ejected},
+		{"own and foreign zone eject", 6, []Report{report("b", 6, 0)}, Ejected},
+		{"old reports do not count", 0, []Report{report("b", 24, 0), report("c", 24, time.Minute)}, InUse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			own := Report{AvailabilityZone: "a", Excess: c.own}
+			assertScope(t, Judge(&State{}, own, c.peers, x, start), c.want)
+		})
+	}
+	t.Run("evidence from before the readmission does not count", func(t *testing.T) {
+		s := &State{Ejection: Ejection{Readmitted: start}}
+		peers := []Report{report("b", 24, time.Second), report("c", 24, time.Second)}
+		assertScope(t, Judge(s, Report{AvailabilityZone: "a"}, peers, x, start), InUse)
+	})
+}
