--- a/cmd/egretline/cmds/command/register.go
+++ b/cmd/egretline/cmds/command/register.go
@@ -15,5 +15,6 @@
 func all() []subcommands.Command {
 	return []subcommands.Command{
 		&serve{},
+		&loadCommand{},
 	}
 }
--- /dev/null
+++ b/pkg/loadcmd/requestlog.go
@@ -0,0 +1,91 @@
+package loadcmd
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"egretline.example/egretline/pkg/load"
+	"egretline.example/egretline/pkg/pool"
+)
+
+// requestLogQueue is the number of lines that may wait for the writer. Workers wait when it is full.
+const requestLogQueue = 4096
+
+// RequestLine is one line of the request log: one request and what its caller saw. A check compares it with the runs
+// that backend servers recorded.
+type RequestLine struct {
+	Nonce      string     `json:"nonce"`
+	Flow       string     `json:"flow"`
+	Tenant     string     `json:"tenant"`
+	Idempotent bool       `json:"idempotent"`
+	Class      load.Class `json:"class"`
+	Status     int        `json:"status,omitempty"`
+	Node       string     `json:"node,omitempty"`
+	Key        string     `json:"idempotency-key,omitempty"`
+	Reason     string     `json:"reason,omitempty"`
+	Detail     string     `json:"detail,omitempty"`
+	// AtMs is the intended send time in milliseconds after the start.
+	AtMs      float64 `json:"at-ms"`
+	LatencyMs float64 `json:"latency-ms"`
+}
+
+// RequestLog writes one JSON line for each result. One worker writes, so that no lock is held during I/O.
+type RequestLog struct {
+	experiment load.Experiment
+	out        *bufio.Writer
+	lines      *pool.Pool[RequestLine]
+	err        error
+}
+
+// NewRequestLog returns a log that writes to w until Close.
+func NewRequestLog(w io.Writer, e load.Experiment) *RequestLog {
+	l := &RequestLog{experiment: e, out: bufio.NewWriter(w)}
+	l.lines = pool.New("request-log", 1, requestLogQueue, l.write)
+	return l
+}
+
+// Record queues the result for writing. It must not be called after Close.
+func (l *RequestLog) Record(r load.Result) {
+	f := l.experiment.Flows[r.Request.Flow]
+	line := RequestLine{
+		Nonce:      r.Nonce,
+		Flow:       f.Name,
+		Tenant:     l.experiment.Tenants[r.Request.Tenant].Name,
+		Idempotent: f.Idempotent,
+		Class:      r.Class,
+		Status:     r.Reply.Status,
+		Node:       r.Node,
+		Key:        r.Key,
+		Reason:     r.Reply.Reason,
+		Detail:     r.Detail,
+		AtMs:       milliseconds(r.Request.At),
+		LatencyMs:  milliseconds(r.Latency),
+	}
+	if err := l.lines.Submit(context.Background(), line); err != nil {
+		return
+	}
+}
+
+// Close writes what is queued and returns the first error of the log.
+func (l *RequestLog) Close() error {
+	l.lines.Close()
+	if l.err == nil {
+		l.err = l.out.Flush()
+	}
+	return eris.Wrap(l.err, "write request log")
+}
+
+func (l *RequestLog) write(line RequestLine) {
+	if l.err == nil {
+		l.err = json.NewEncoder(l.out).Encode(line)
+	}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
