Add the messages between nodes and cache the service groups

Cause: forwards, heartbeats and configuration fetches need a client and handlers, and ranking all hosts for each request is too slow.

--- a/pkg/memberquery/entries.go
+++ b/pkg/memberquery/entries.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"egretline.example/egretline/pkg/decide/group"
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/decide/once"
 	"egretline.example/egretline/pkg/fleet"
@@ -18,18 +17,6 @@
 	KeyPrefix string
 }
 
-// Entries returns the nodes that callers in the availability zone should use for the service, in order of preference.
-// Leaving nodes are left out.
-func (q *Queries) Entries(s fleet.Service, availabilityZone string, now time.Time) []Entry {
-	var entries []Entry
-	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
-		for _, h := range group.Order(group.Members(s, live(m, now)), availabilityZone) {
-			entries = append(entries, Entry{Host: h, KeyPrefix: keyPrefix(m, h.ID, now)})
-		}
-	})
-	return entries
-}
-
 // KeyPrefix returns the prefix of idempotency keys whose home is this node.
 func (q *Queries) KeyPrefix(now time.Time) string {
 	var prefix string
--- a/pkg/memberquery/memberquery.go
+++ b/pkg/memberquery/memberquery.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"egretline.example/egretline/pkg/decide/group"
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -49,15 +48,13 @@
 	return states
 }
 
-// Group returns the hosts that serve the service, in the view of this node.
-func (q *Queries) Group(s fleet.Service, now time.Time) []fleet.Host {
-	return group.Members(s, q.Live(now))
-}
-
-// InGroup says whether this node serves the service.
-func (q *Queries) InGroup(s fleet.Service, now time.Time) bool {
-	self, _ := q.Self()
-	return slices.ContainsFunc(q.Group(s, now), func(h fleet.Host) bool { return h.ID == self.ID })
+// Group returns the members of the group of the service, as of the last refresh.
+func (q *Queries) Group(service string) []fleet.Host {
+	var members []fleet.Host
+	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		members = slices.Clone(m.Groups[service].Members)
+	})
+	return members
 }
 
 func live(m *table.Members, now time.Time) []fleet.Host {
@@ -67,6 +64,10 @@
 			hosts = append(hosts, s.Host)
 		}
 	}
-	slices.SortFunc(hosts, func(a, b fleet.Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(hosts, compareIDs)
 	return hosts
 }
+
+func compareIDs(a, b fleet.Host) int {
+	return cmp.Compare(a.ID, b.ID)
+}
--- a/pkg/table/members.go
+++ b/pkg/table/members.go
@@ -15,6 +15,20 @@
 	Started time.Time
 	// View is the knowledge of other hosts. It does not hold the node itself.
 	View member.View
+	// Groups is keyed by service name.
+	Groups map[string]ServiceGroup
+	// GroupsRevision, GroupsLive and GroupsKnown are what the groups were computed from. They are replaced as a whole.
+	GroupsRevision int64
+	GroupsLive     []fleet.Host
+	GroupsKnown    []fleet.Host
+}
+
+// ServiceGroup is the group of one service. It is replaced as a whole and never changed in place.
+type ServiceGroup struct {
+	// Members is the group over the live hosts.
+	Members []fleet.Host
+	// Candidates is the group over the live hosts and the listed ones that cannot be reached.
+	Candidates []fleet.Host
 }
 
 func newMembers(self fleet.Host, incarnation string) Members {
--- a/service/backend/header.go
+++ b/service/backend/header.go
@@ -2,17 +2,11 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"egretline.example/egretline/service/api"
+	"egretline.example/egretline/service/header"
 )
 
-// hopHeaders are the headers of a single connection (RFC 9110, section 7.6.1). They are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // ownHeaders are set by the node. They are removed from callers' requests, so that a caller cannot pose as another
 // tenant. The bearer token is between caller and node only.
 var ownHeaders = []string{
@@ -27,7 +21,7 @@
 	if out == nil {
 		out = http.Header{}
 	}
-	removeHop(out)
+	header.RemoveHop(out)
 	for _, name := range ownHeaders {
 		out.Del(name)
 	}
@@ -38,7 +32,7 @@
 // then chunked, and leaving out the last chunk shows the caller that the body is not whole.
 func copyResponseHeader(dst, src http.Header, digest bool) {
 	h := src.Clone()
-	removeHop(h)
+	header.RemoveHop(h)
 	for _, name := range privateHeaders {
 		h.Del(name)
 	}
@@ -49,14 +43,3 @@
 		dst[name] = values
 	}
 }
-
-func removeHop(h http.Header) {
-	for _, line := range h.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
--- /dev/null
+++ b/service/peer/errors.go
@@ -0,0 +1,61 @@
+package peer
+
+import "fmt"
+
+// UnreachableError reports that no response came from a node.
+type UnreachableError struct {
+	HostID  string
+	Address string
+	Cause   error
+}
+
+func (e UnreachableError) Error() string {
+	return fmt.Sprintf("node %s at %s is unreachable: %v", e.HostID, e.Address, e.Cause)
+}
+
+// Unwrap returns the error of the transport.
+func (e UnreachableError) Unwrap() error { return e.Cause }
+
+// StatusError reports a response of a node with an unexpected status.
+type StatusError struct {
+	HostID string
+	Path   string
+	Status int
+}
+
+func (e StatusError) Error() string {
+	return fmt.Sprintf("node %s responded to %s with status %d", e.HostID, e.Path, e.Status)
+}
+
+// BodyError reports a response of a node that broke off or could not be passed on.
+type BodyError struct {
+	HostID string
+	Cause  error
+}
+
+func (e BodyError) Error() string {
+	return fmt.Sprintf("response of node %s broke off: %v", e.HostID, e.Cause)
+}
+
+// Unwrap returns the error of the connection.
+func (e BodyError) Unwrap() error { return e.Cause }
+
+// MismatchError reports a response to a forwarded request that is not the response to that request.
+type MismatchError struct {
+	HostID string
+	Want   string
+	Got    string
+}
+
+func (e MismatchError) Error() string {
+	return fmt.Sprintf("node %s sent the response to request %q for request %q", e.HostID, e.Got, e.Want)
+}
+
+// NoTargetError reports a request for which no node of the service group can be reached.
+type NoTargetError struct {
+	Tried int
+}
+
+func (e NoTargetError) Error() string {
+	return fmt.Sprintf("none of %d nodes of the service group can be reached", e.Tried)
+}
