Bound the connections of each listener and test the settings

Cause: connections were without bound under overload, and the settings file, which is read from outside, had no tests.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -14,6 +14,8 @@
 
 // Defaults of settings that the file leaves out.
 const (
+	// DefaultMaxConnections bounds the connections of each listener.
+	DefaultMaxConnections = 2048
 	// DefaultExchangeWorkers bounds the requests that a node exchanges with backend servers at the same time.
 	DefaultExchangeWorkers = 256
 	// DefaultForwardWorkers bounds the requests that a node forwards to other nodes at the same time.
@@ -64,6 +66,7 @@
 	LogURL      string `toml:"log-url"`
 	HostListURL string `toml:"host-list-url"`
 
+	MaxConnections  int `toml:"max-connections"`
 	ExchangeWorkers int `toml:"exchange-workers"`
 	ForwardWorkers  int `toml:"forward-workers"`
 	ControlWorkers  int `toml:"control-workers"`
@@ -99,6 +102,7 @@
 // Decode checks the contents of a settings file. The path is used in errors only.
 func Decode(path string, contents []byte) (Settings, error) {
 	s := Settings{
+		MaxConnections:  DefaultMaxConnections,
 		ExchangeWorkers: DefaultExchangeWorkers,
 		ForwardWorkers:  DefaultForwardWorkers,
 		ControlWorkers:  DefaultControlWorkers,
@@ -145,6 +149,9 @@
 			return FileError{Path: path, Key: r.key, Remedy: "missing; write a value for it"}
 		}
 	}
+	if s.MaxConnections < 1 {
+		return FileError{Path: path, Key: "max-connections", Remedy: "must be at least 1"}
+	}
 	if s.ExchangeWorkers < 1 || s.ForwardWorkers < 1 || s.ControlWorkers < 1 {
 		return FileError{Path: path, Key: "exchange-workers, forward-workers, control-workers", Remedy: "must be at least 1"}
 	}
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const example = "../../examples/node.toml"
+
+// Guards against a node that starts with settings that it does not understand or that cut callers off.
+func TestDecode(t *testing.T) {
+	contents, err := os.ReadFile(example)
+	is.New(t).NoErr(err)
+	valid := string(contents)
+
+	t.Run("example", func(t *testing.T) {
+		is := is.New(t)
+		s, err := Decode(example, contents)
+		is.NoErr(err)
+		is.Equal(s.EntryTTL.Duration, 30*time.Second)
+		is.Equal(s.ExchangeWorkers, DefaultExchangeWorkers)
+	})
+	t.Run("unknown key", func(t *testing.T) {
+		assertRefused(t, valid+"\nexchange-worker = 1\n", "exchange-worker")
+	})
+	t.Run("duration without unit", func(t *testing.T) {
+		assertRefused(t, strings.Replace(valid, `"30s"`, `"30"`, 1), "entry-ttl")
+	})
+	t.Run("missing host", func(t *testing.T) {
+		assertRefused(t, strings.Replace(valid, "host-id", "# host-id", 1), "host-id")
+	})
+	t.Run("grace shorter than the time to live of entry responses", func(t *testing.T) {
+		assertRefused(t, strings.Replace(valid, `"35s"`, `"30s"`, 1), "drain-grace")
+	})
+	t.Run("no workers", func(t *testing.T) {
+		assertRefused(t, strings.Replace(valid, "exchange-workers = 256", "exchange-workers = 0", 1), "exchange-workers")
+	})
+	t.Run("not TOML", func(t *testing.T) {
+		assertRefused(t, "host-id = ", "")
+	})
+}
+
+func assertRefused(t *testing.T, contents, key string) {
+	t.Helper()
+	is := is.New(t)
+	_, err := Decode("node.toml", []byte(contents))
+	var refused FileError
+	is.True(errors.As(err, &refused))
+	is.True(strings.Contains(refused.Key, key))
+	is.True(refused.Remedy != "")
+}
+
+// Guards against a settings file that crashes the node.
+func FuzzDecode(f *testing.F) {
+	contents, err := os.ReadFile(example)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(contents)
+	f.Fuzz(func(t *testing.T, contents []byte) {
+		s, err := Decode("node.toml", contents)
+		if err == nil && s.DrainGrace.Duration <= s.EntryTTL.Duration {
+			t.Fatal("accepted a drain grace that is not longer than the time to live of entry responses")
+		}
+	})
+}
--- a/service/node/fleet_test.go
+++ b/service/node/fleet_test.go
@@ -77,7 +77,7 @@
 		HostID: id, Region: "kz-central", AvailabilityZone: zone,
 		CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		LogURL: f.logURL, HostListURL: f.hostURL,
-		ExchangeWorkers: 64, ForwardWorkers: 16, ControlWorkers: 4,
+		MaxConnections: 64, ExchangeWorkers: 64, ForwardWorkers: 16, ControlWorkers: 4,
 		EntryTTL:   settings.Duration{Duration: time.Millisecond},
 		DrainGrace: settings.Duration{Duration: 10 * time.Millisecond},
 	}, zerolog.Nop())
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -29,6 +29,9 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout gives the places of callers that are gone back to others.
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
 	// platformTimeout bounds one request to the log or the host list. It is longer than the long poll of the log.
 	platformTimeout = 15 * time.Second
 )
@@ -110,7 +113,9 @@
 		}
 		*b.address = l.Addr().String()
 		servers = append(servers, &server{
-			Name: b.name, Listener: l, HTTP: &http.Server{ReadHeaderTimeout: readHeaderTimeout},
+			Name: b.name, Listener: newLimitListener(l, s.MaxConnections), HTTP: &http.Server{
+				ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			},
 		})
 	}
 	return servers, nil
