Add the health queries and recorded traces

Cause: dispatch and operators need the state of backend servers, and detection is to be proved by replay. Change: pkg/healthquery reads states, reasons, use and reports; pkg/trace records, reads and replays evidence.

--- a/pkg/decide/detect/ejection.go
+++ b/pkg/decide/detect/ejection.go
@@ -7,8 +7,8 @@
 	maxHoldDown   = 5 * time.Minute
 	// quietPeriod is the time without ejection after which the hold-down halves.
 	quietPeriod = time.Minute
-	// neededTrials is the number of successful trial requests before readmission.
-	neededTrials = 3
+	// NeededTrials is the number of successful trial requests before readmission.
+	NeededTrials = 3
 )
 
 // Scope says which members take a server out of use.
@@ -104,7 +104,7 @@
 	switch v {
 	case good:
 		e.Successes++
-		if e.Successes >= neededTrials {
+		if e.Successes >= NeededTrials {
 			Readmit(s, false, now)
 		}
 	case bad:
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/pool"
 	"egretline.example/egretline/pkg/table"
 )
@@ -32,17 +34,26 @@
 	return fmt.Sprintf("request waited in the queue of service %q until its deadline", e.Service)
 }
 
+// HealthObserver records what attempts show about backend servers.
+type HealthObserver interface {
+	Started(now time.Time, a table.Assignment)
+	Responded(now time.Time, a table.Assignment)
+	// Observe records the result of an attempt that is still in the table of requests in flight.
+	Observe(now time.Time, a table.Assignment, r table.Result)
+}
+
 // Dispatcher assigns waiting requests to backend servers and runs them on a fixed pool of workers.
 type Dispatcher struct {
 	Tables  *table.Tables
+	Health  HealthObserver
 	Workers int
 
 	exchange *pool.Pool[table.Assignment]
 }
 
 // New returns a dispatcher over the tables that runs at most the given number of requests at the same time.
-func New(t *table.Tables, workers int) *Dispatcher {
-	d := &Dispatcher{Tables: t, Workers: workers}
+func New(t *table.Tables, health HealthObserver, workers int) *Dispatcher {
+	d := &Dispatcher{Tables: t, Health: health, Workers: workers}
 	// Assign never hands out more than one assignment for each worker, so the queue cannot fill.
 	d.exchange = pool.New("exchange", workers, workers, d.run)
 	return d
@@ -108,7 +119,7 @@
 	if !ok || q.InFlight >= d.Workers {
 		return false
 	}
-	if !anyFree(b.Services[service]) {
+	if !anyFree(b.Services[service], now) {
 		return false
 	}
 	item, ok := admission.Next(queue, now)
@@ -116,15 +127,20 @@
 		return false
 	}
 	t := item.Payload
-	server := choose(b.Services[service], t.Tried)
+	server := choose(b.Services[service], t, now)
 	server.Outstanding++
+	if detect.Out(&server.State) {
+		detect.StartTrial(&server.State, t.ID)
+	}
 	server.InFlight[t.ID] = table.InFlight{Started: now}
 	return d.exchange.TrySubmit(table.Assignment{Ticket: t, Server: server.Server}) == nil
 }
 
-func anyFree(servers map[string]*table.Backend) bool {
+// anyFree says whether any request can be assigned. Servers that only take trial requests do not count, because the next
+// request may not be idempotent.
+func anyFree(servers map[string]*table.Backend, now time.Time) bool {
 	for _, s := range servers {
-		if free(s) {
+		if healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse && free(s) {
 			return true
 		}
 	}
@@ -132,15 +148,24 @@
 }
 
 func free(s *table.Backend) bool {
-	return !s.Leaving && s.Outstanding < s.Server.Slots
+	return s.Outstanding < s.Server.Slots
 }
 
-// choose returns the server with the fewest outstanding requests, and one that was not tried if there is any.
-func choose(servers map[string]*table.Backend, tried []string) *table.Backend {
+// choose returns a server that is due for a trial request, or else the one with the fewest outstanding requests, and one
+// that was not tried if there is any.
+func choose(servers map[string]*table.Backend, t *table.Ticket, now time.Time) *table.Backend {
 	var best *table.Backend
 	for _, s := range servers {
-		if free(s) && (best == nil || less(s, best, tried)) {
-			best = s
+		if !free(s) {
+			continue
+		}
+		switch healthquery.UseOf(s, t.Idempotent, t.Attempt, now) {
+		case healthquery.TrialUse:
+			return s
+		case healthquery.NormalUse:
+			if best == nil || less(s, best, t.Tried) {
+				best = s
+			}
 		}
 	}
 	return best
@@ -166,10 +191,12 @@
 // run is the job of an exchange worker: one attempt, from sending the request to settling its result.
 func (d *Dispatcher) run(a table.Assignment) {
 	t := a.Ticket
+	d.Health.Started(time.Now(), a)
 	r := t.Runner.Send(t.Context, a.Server)
 	d.respond(a)
 	if d.mayRetry(a, r) {
 		t.Runner.Discard()
+		d.Health.Observe(time.Now(), a, r)
 		d.release(a)
 		d.requeue(a, r)
 		return
@@ -182,6 +209,7 @@
 		t.Runner.Discard()
 		r.Outcome = retry.Outcome(attempt(a, r))
 	}
+	d.Health.Observe(time.Now(), a, r)
 	d.release(a)
 	t.Done <- r
 	d.assign(time.Now(), t.Service)
@@ -195,6 +223,7 @@
 			s.InFlight[a.Ticket.ID] = f
 		}
 	})
+	d.Health.Responded(time.Now(), a)
 }
 
 func attempt(a table.Assignment, r table.Result) retry.Attempt {
--- /dev/null
+++ b/pkg/healthcmd/observe.go
@@ -0,0 +1,102 @@
+// Package healthcmd records evidence about backend servers and decides which of them are in use. It changes the Backends
+// table.
+package healthcmd
+
+import (
+	"time"
+
+	"egretline.example/egretline/pkg/decide/detect"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/trace"
+)
+
+// Recorder takes the evidence events for a recorded trace. Record must not block.
+type Recorder interface {
+	Record(e trace.Event)
+}
+
+// Commands changes the Backends table of one node.
+type Commands struct {
+	Tables *table.Tables
+	// Trace receives every evidence event; nil if no trace is recorded.
+	Trace Recorder
+}
+
+// Observe records the result of an attempt. It must be called before the attempt is removed from the requests in flight.
+func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
+	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		s, health := find(b, key)
+		if s == nil {
+			return
+		}
+		x := detect.Sample{
+			Evidence: r.Evidence, Latency: r.Latency, Ticket: a.Ticket.ID, Age: s.InFlight[a.Ticket.ID].Age,
+		}
+		detect.Observe(&s.State, x, detect.Rest(health.Summary, &s.State, now), health.Settings, now)
+		leavingSign(s, r.Evidence, r.Leaving, now)
+	})
+	c.record(trace.Event{
+		At: now, Kind: trace.Ended, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
+		Evidence: r.Evidence, Latency: r.Latency, Leaving: r.Leaving,
+	})
+}
+
+// Started records that a request was assigned to a backend server. It only feeds the trace.
+func (c *Commands) Started(now time.Time, a table.Assignment) {
+	c.record(trace.Event{
+		At: now, Kind: trace.Started, Service: a.Ticket.Service, Address: a.Server.Address, Request: a.Ticket.ID,
+	})
+}
+
+// Responded records that the response headers of a request have arrived. It only feeds the trace.
+func (c *Commands) Responded(now time.Time, a table.Assignment) {
+	c.record(trace.Event{
+		At: now, Kind: trace.Responded, Service: a.Ticket.Service, Address: a.Server.Address, Request: a.Ticket.ID,
+	})
+}
+
+// Probe is the result of one probe.
+type Probe struct {
+	Server   table.ServerKey
+	Evidence fleet.Evidence
+	Latency  time.Duration
+	Leaving  bool
+}
+
+// ObserveProbe records the result of a probe.
+func (c *Commands) ObserveProbe(now time.Time, p Probe) {
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		s, health := find(b, p.Server)
+		if s == nil {
+			return
+		}
+		x := detect.Sample{Evidence: p.Evidence, Latency: p.Latency, Probe: true}
+		detect.Observe(&s.State, x, detect.Rest(health.Summary, &s.State, now), health.Settings, now)
+		leavingSign(s, p.Evidence, p.Leaving, now)
+		if p.Evidence == fleet.Succeeded && !p.Leaving {
+			stayed(s, now)
+		}
+	})
+	c.record(trace.Event{
+		At: now, Kind: trace.Probed, Service: p.Server.Service, Address: p.Server.Address,
+		Evidence: p.Evidence, Latency: p.Latency, Leaving: p.Leaving,
+	})
+}
+
+func (c *Commands) record(e trace.Event) {
+	if c.Trace != nil {
+		c.Trace.Record(e)
+	}
+}
+
+func find(b *table.Backends, key table.ServerKey) (*table.Backend, *table.Health) {
+	s := b.Services[key.Service][key.Address]
+	health := b.Health[key.Service]
+	if s == nil || health == nil {
+		return nil, nil
+	}
+	return s, health
+}
--- /dev/null
+++ b/pkg/healthquery/report.go
@@ -0,0 +1,77 @@
+package healthquery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/detect"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// maxSuspicions bounds the size of a heartbeat. A node that suspects more servers at once reports the most suspected.
+const maxSuspicions = 32
+
+// Suspicion is the evidence about one backend server from this node's own requests.
+type Suspicion struct {
+	Server table.ServerKey
+	table.Suspicion
+}
+
+// Report is what a heartbeat says about backend servers. The receiver knows the zone of the sender from the heartbeat.
+type Report struct {
+	Suspicions []Suspicion
+	Leaving    []table.ServerKey
+}
+
+// Report returns the suspicions of this node, the strongest first, and the servers of which this node itself found that
+// they are leaving. What peers reported is left out, so that a report does not circulate after its cause has ended. An
+// isolated node reports nothing.
+func (q *Queries) Report(now time.Time) Report {
+	var r Report
+	q.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		if b.Isolated {
+			return
+		}
+		for name, servers := range b.Services {
+			for address, s := range servers {
+				key := table.ServerKey{Service: name, Address: address}
+				if s.Leaving {
+					r.Leaving = appendLeaving(r.Leaving, key, s)
+					continue
+				}
+				r.Suspicions = appendSuspicion(r.Suspicions, key, s, b.Health[name], now)
+			}
+		}
+	})
+	slices.SortFunc(r.Leaving, compareKeys)
+	slices.SortFunc(r.Suspicions, func(x, y Suspicion) int {
+		return cmp.Or(cmp.Compare(y.Excess, x.Excess), compareKeys(x.Server, y.Server))
+	})
+	r.Suspicions = r.Suspicions[:min(len(r.Suspicions), maxSuspicions)]
+	return r
+}
+
+func appendLeaving(list []table.ServerKey, key table.ServerKey, s *table.Backend) []table.ServerKey {
+	if s.LeavingReason == table.LeavingReported || s.LeavingReason == table.LeavingRemoved {
+		return list
+	}
+	return append(list, key)
+}
+
+func appendSuspicion(
+	list []Suspicion, key table.ServerKey, s *table.Backend, health *table.Health, now time.Time,
+) []Suspicion {
+	baseline := detect.Rest(health.Summary, &s.State, now)
+	if !detect.Reportable(&s.State, baseline, now) {
+		return list
+	}
+	return append(list, Suspicion{Server: key, Suspicion: table.Suspicion{
+		Excess: detect.Excess(&s.State, baseline), Age: now.Sub(s.State.LastFailure),
+	}})
+}
+
+func compareKeys(a, b table.ServerKey) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Address, b.Address))
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -36,7 +36,7 @@
 	return &Tables{
 		Config:   guard.New(RankConfig, Config{}),
 		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
-		Backends: guard.New(RankBackends, Backends{Services: map[string]map[string]*Backend{}}),
+		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
 	}
 }
@@ -48,28 +48,6 @@
 	Compiled *fleet.Configuration
 }
 
-// Backends is the state of the backend servers, by service and address.
-type Backends struct {
-	Services map[string]map[string]*Backend
-}
-
-// Backend is the state of one backend server at this node.
-type Backend struct {
-	Server      fleet.BackendServer
-	FirstSeen   time.Time
-	Outstanding int
-	Leaving     bool
-	// InFlight is keyed by ticket ID.
-	InFlight map[string]InFlight
-}
-
-// InFlight is one request that a backend server has not answered yet.
-type InFlight struct {
-	Started time.Time
-	// Responded says that the response headers have arrived, so that the age no longer hints at a stall.
-	Responded bool
-}
-
 // Queues is the waiting work by service, and the number of requests that workers hold.
 type Queues struct {
 	Services map[string]*admission.Queue[*Ticket]
