--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -37,7 +37,8 @@
 // HealthObserver records what attempts show about backend servers.
 type HealthObserver interface {
 	Started(now time.Time, a table.Assignment)
-	Responded(now time.Time, a table.Assignment)
+	// Responded records the response headers, or that none came.
+	Responded(now time.Time, a table.Assignment, r table.Result)
 	// Observe records the result of an attempt that is still in the table of requests in flight.
 	Observe(now time.Time, a table.Assignment, r table.Result)
 }
@@ -193,7 +194,7 @@
 	t := a.Ticket
 	d.Health.Started(time.Now(), a)
 	r := t.Runner.Send(t.Context, a.Server)
-	d.respond(a)
+	d.Health.Responded(time.Now(), a, r)
 	if d.mayRetry(a, r) {
 		t.Runner.Discard()
 		d.Health.Observe(time.Now(), a, r)
@@ -215,17 +216,6 @@
 	d.assign(time.Now(), t.Service)
 }
 
-func (d *Dispatcher) respond(a table.Assignment) {
-	d.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		if s, ok := b.Services[a.Ticket.Service][a.Server.Address]; ok {
-			f := s.InFlight[a.Ticket.ID]
-			f.Responded = true
-			s.InFlight[a.Ticket.ID] = f
-		}
-	})
-	d.Health.Responded(time.Now(), a)
-}
-
 func attempt(a table.Assignment, r table.Result) retry.Attempt {
 	return retry.Attempt{
 		Evidence:   r.Evidence,
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -32,10 +32,14 @@
 		if s == nil {
 			return
 		}
+		baseline := detect.Rest(health.Summary, &s.State, now)
+		if expired(now, a.Ticket, r, baseline) {
+			r.Evidence = fleet.Canceled
+		}
 		x := detect.Sample{
 			Evidence: r.Evidence, Latency: r.Latency, Ticket: a.Ticket.ID, Age: s.InFlight[a.Ticket.ID].Age,
 		}
-		detect.Observe(&s.State, x, detect.Rest(health.Summary, &s.State, now), health.Settings, now)
+		detect.Observe(&s.State, x, baseline, health.Settings, now)
 		leavingSign(s, r.Evidence, r.Leaving, now)
 	})
 	c.record(trace.Event{
@@ -44,6 +48,13 @@
 	})
 }
 
+// expired says whether the attempt failed only because the request reached its deadline before the backend server had
+// the usual time to respond.
+func expired(now time.Time, t *table.Ticket, r table.Result, b detect.Baseline) bool {
+	failed := r.Evidence == fleet.Failed || r.Evidence == fleet.Unreachable
+	return failed && !r.Response && !t.Deadline.IsZero() && !now.Before(t.Deadline) && r.Latency < detect.StallAge(b)
+}
+
 // Started records that a request was assigned to a backend server. It only feeds the trace.
 func (c *Commands) Started(now time.Time, a table.Assignment) {
 	c.record(trace.Event{
@@ -51,10 +62,23 @@
 	})
 }
 
-// Responded records that the response headers of a request have arrived. It only feeds the trace.
-func (c *Commands) Responded(now time.Time, a table.Assignment) {
+// Responded records that the response headers of a request have arrived. A sign of leaving counts from here on, not only
+// once the body has been streamed.
+func (c *Commands) Responded(now time.Time, a table.Assignment, r table.Result) {
+	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		s, _ := find(b, key)
+		if s == nil {
+			return
+		}
+		leavingSign(s, r.Evidence, r.Leaving, now)
+		if f, ok := s.InFlight[a.Ticket.ID]; ok {
+			f.Responded = true
+			s.InFlight[a.Ticket.ID] = f
+		}
+	})
 	c.record(trace.Event{
-		At: now, Kind: trace.Responded, Service: a.Ticket.Service, Address: a.Server.Address, Request: a.Ticket.ID,
+		At: now, Kind: trace.Responded, Service: key.Service, Address: key.Address, Request: a.Ticket.ID, Leaving: r.Leaving,
 	})
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -72,6 +72,8 @@
 	DrainGrace Duration `toml:"drain-grace"`
 
 	LogLevel string `toml:"log-level"`
+	// TraceFile is where evidence about backend servers is recorded; empty for none.
+	TraceFile string `toml:"trace-file"`
 }
 
 // FileError reports a settings file that cannot be used, with the place and the remedy.
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"egretline.example/egretline/pkg/fleet"
-	"egretline.example/egretline/pkg/guard"
-	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/service/hostlist"
 )
 
@@ -22,6 +20,8 @@
 func (n *Node) periodic() []*job {
 	return []*job{
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
+		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
+		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
 }
 
@@ -32,7 +32,7 @@
 		err := n.follower.Poll(ctx, configPoll)
 		if c := n.Config.Current(); c != nil && c.Revision != revision {
 			revision = c.Revision
-			n.syncBackends(c)
+			n.health.Sync(time.Now(), c)
 			n.Log.Info().Int64("revision", revision).Msg("configuration is in force")
 		}
 		if err != nil && ctx.Err() == nil {
@@ -42,26 +42,6 @@
 	}
 }
 
-func (n *Node) syncBackends(c *fleet.Configuration) {
-	now := time.Now()
-	n.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		for name, s := range c.Services {
-			servers := b.Services[name]
-			if servers == nil {
-				servers = map[string]*table.Backend{}
-				b.Services[name] = servers
-			}
-			for _, server := range s.BackendServers {
-				if servers[server.Address] == nil {
-					servers[server.Address] = &table.Backend{
-						Server: server, FirstSeen: now, InFlight: map[string]table.InFlight{},
-					}
-				}
-			}
-		}
-	})
-}
-
 func (n *Node) hostListJob() func(ctx context.Context) {
 	var previous hostlist.List
 	return func(ctx context.Context) {
@@ -74,6 +54,7 @@
 		}
 		previous = list
 		n.members.AdoptHostList(list.Hosts, time.Now())
+		n.health.AdoptHostList(time.Now(), list.BackendServersLeaving)
 	}
 }
 
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -7,7 +7,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,10 +19,13 @@
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/membercmd"
 	"egretline.example/egretline/pkg/memberquery"
 	"egretline.example/egretline/pkg/settings"
 	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/trace"
 	"egretline.example/egretline/service/backend"
 	"egretline.example/egretline/service/caller"
 	"egretline.example/egretline/service/hostlist"
@@ -49,6 +54,13 @@
 	jobs      *scheduler
 	servers   []*server
 	failed    chan error
+
+	health      *healthcmd.Commands
+	healthQuery *healthquery.Queries
+	prober      *backend.Prober
+	recorder    *trace.Recorder
+	traceFile   *os.File
+	wasIsolated atomic.Bool
 }
 
 // server is one listener and the HTTP server on it.
@@ -71,20 +83,30 @@
 	}
 	t := table.New(self, rand.Text())
 	platform := &http.Client{Timeout: platformTimeout}
+	health := &healthcmd.Commands{Tables: t}
+	transport := backend.NewTransport()
 	n := &Node{
 		Settings:   s,
 		Tables:     t,
 		Config:     configquery.Query{Config: t.Config},
 		Members:    &memberquery.Queries{Tables: t},
-		Dispatcher: dispatchcmd.New(t, s.ExchangeWorkers),
+		Dispatcher: dispatchcmd.New(t, health, s.ExchangeWorkers),
 		Log:        log,
 		follower: &configcmd.Follower{
 			Log: platformlog.New(s.LogURL, platform), Config: t.Config, Logger: log,
 		},
 		members:   &membercmd.Commands{Tables: t},
 		hosts:     &hostlist.Client{URL: s.HostListURL, HTTP: platform},
-		transport: backend.NewTransport(),
+		transport: transport,
 		failed:    make(chan error, 1),
+
+		health:      health,
+		healthQuery: &healthquery.Queries{Tables: t},
+		prober:      &backend.Prober{Transport: transport},
+	}
+	if err := n.openTrace(); err != nil {
+		closeServers(servers)
+		return nil, err
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
 	n.servers = servers
@@ -151,6 +173,7 @@
 	closeServers(n.servers)
 	n.Dispatcher.Close()
 	n.transport.CloseIdleConnections()
+	n.closeTrace()
 	return err
 }
 
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -16,10 +16,10 @@
 	return mux
 }
 
-// ready reports whether callers should be sent to this node: it has a configuration and is not leaving.
+// ready reports whether callers should be sent to this node: it has a configuration, is not leaving and is not isolated.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
 	self, _ := n.Members.Self()
-	if n.Config.Current() == nil || self.Leaving {
+	if n.Config.Current() == nil || self.Leaving || n.healthQuery.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
