Serve entries, forwards and keyed requests at the caller edge

Cause: a node outside the group or away from a key's home could not serve it. Change: service/caller answers GET /entries, forwards requests and runs keyed requests at their home; the node sends heartbeats.

--- a/pkg/memberquery/entries.go
+++ b/pkg/memberquery/entries.go
@@ -26,6 +26,15 @@
 	return prefix
 }
 
+// Epoch returns the current epoch of idempotency keys of this node.
+func (q *Queries) Epoch(now time.Time) int64 {
+	var epoch int64
+	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
+		epoch = once.Epoch(m.Started, now)
+	})
+	return epoch
+}
+
 // Locate returns where the home of the key is, and its host if that is another one.
 func (q *Queries) Locate(k once.Key) (once.Place, fleet.Host) {
 	var place once.Place
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -45,13 +45,14 @@
 type Handler struct {
 	Routes     Routes
 	Dispatcher Dispatcher
+	Homes      Homes
+	Keys       Keys
+	Groups     Groups
+	Forwarder  Forwarder
 	Transport  http.RoundTripper
-	Log        zerolog.Logger
-}
-
-// New returns a handler with its dependencies.
-func New(routes Routes, d Dispatcher, t http.RoundTripper, log zerolog.Logger) *Handler {
-	return &Handler{Routes: routes, Dispatcher: d, Transport: t, Log: log}
+	// EntryTTL is how long callers may keep an entry response.
+	EntryTTL time.Duration
+	Log      zerolog.Logger
 }
 
 // request is a caller's request with what the node knows about it.
@@ -62,31 +63,61 @@
 	Rank    int
 	Arrived time.Time
 	Timeout time.Duration
+	// Forwarded says that another node forwarded the request, so that it must not be forwarded again.
+	Forwarded bool
 }
 
-// ServeHTTP serves one request.
+// ServeHTTP serves one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q, err := h.resolve(r)
+	h.serve(w, r, request{ID: rand.Text(), Arrived: time.Now()})
+}
+
+// Forwarded returns the handler of the requests that other nodes forward. They are authenticated again, so that access to
+// the port of other nodes gives no access to the data of a tenant.
+func (h *Handler) Forwarded() http.Handler {
+	return http.StripPrefix(api.PathForward, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.serve(w, r, request{ID: r.Header.Get(api.HeaderRequestID), Arrived: time.Now(), Forwarded: true})
+	}))
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, q request) {
+	if r.URL.Path == pathEntries && r.Method == http.MethodGet {
+		h.serveEntries(w, r, q)
+		return
+	}
+	q, err := h.resolve(r, q)
 	if err != nil {
-		h.refuse(w, q, table.Result{Outcome: fleet.NotRun, Err: err})
+		h.finish(w, q, table.Result{Outcome: refusalOutcome(r.Header), Err: err})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.Arrived.Add(q.Timeout))
 	defer cancel()
-	h.finish(w, q, h.dispatch(ctx, w, r, q))
+	h.finish(w, q, h.run(ctx, w, r, q))
+}
+
+// run has the request run by this node or another one, and waits for its result.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request, q request) table.Result {
+	if !q.Route.Idempotent && hasKey(r.Header) {
+		return h.runKeyed(ctx, w, r, q)
+	}
+	if q.Forwarded || h.Groups.Serves(q.Route.Service) {
+		return h.dispatch(ctx, w, r, q)
+	}
+	targets := h.Groups.Targets(q.Route.Service, q.Arrived)
+	if len(targets) == 0 {
+		// A node outside the group has no evidence about the backend servers, which is better than no service.
+		return h.dispatch(ctx, w, r, q)
+	}
+	return h.forward(ctx, w, r, q, targets)
 }
 
 // resolve authenticates the tenant and finds the route.
-func (h *Handler) resolve(r *http.Request) (request, error) {
-	q := request{ID: rand.Text(), Arrived: time.Now()}
-	c := h.Routes.Current()
-	if c == nil {
-		return q, NotReadyError{}
+func (h *Handler) resolve(r *http.Request, q request) (request, error) {
+	q, c, err := h.authenticate(r, q)
+	if err != nil {
+		return q, err
 	}
 	var ok bool
-	if q.Tenant, ok = c.Tenants[tokenHash(r)]; !ok {
-		return q, UnauthorizedError{}
-	}
 	if q.Route, ok = configquery.Match(c, r.Method, r.URL.Path); !ok || !clean(r.URL.Path) {
 		return q, RouteError{Method: r.Method, Path: r.URL.Path}
 	}
@@ -97,11 +128,27 @@
 		return q, ForbiddenError{Tenant: q.Tenant.Name, Service: q.Route.Service}
 	}
 	q.Rank = slices.IndexFunc(c.Ranks, func(k fleet.Rank) bool { return k.Name == q.Route.Rank })
-	var err error
 	q.Timeout, err = timeout(r, q.Route.Timeout)
 	return q, err
 }
 
+// authenticate finds the tenant in the configuration that is in force. A forwarded request names its tenant too: the two
+// nodes can have different revisions, and the response must not go to another tenant than the first node saw.
+func (h *Handler) authenticate(r *http.Request, q request) (request, *fleet.Configuration, error) {
+	c := h.Routes.Current()
+	if c == nil {
+		return q, nil, NotReadyError{}
+	}
+	var ok bool
+	if q.Tenant, ok = c.Tenants[tokenHash(r)]; !ok {
+		return q, nil, UnauthorizedError{}
+	}
+	if q.Forwarded && r.Header.Get(api.HeaderTenant) != q.Tenant.Name {
+		return q, nil, UnauthorizedError{}
+	}
+	return q, c, nil
+}
+
 func tokenHash(r *http.Request) string {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	sum := sha256.Sum256([]byte(token))
@@ -165,11 +212,6 @@
 	}
 }
 
-func (h *Handler) refuse(w http.ResponseWriter, q request, result table.Result) {
-	h.logResult(q, result)
-	h.writeRefusal(w, q, result)
-}
-
 func (h *Handler) writeRefusal(w http.ResponseWriter, q request, result table.Result) {
 	header := w.Header()
 	header.Set(api.HeaderOutcome, string(result.Outcome))
@@ -200,26 +242,22 @@
 	return err.Error()
 }
 
+// statusError is an error that decides the status of the refusal.
+type statusError interface {
+	error
+	HTTPStatus() int
+}
+
 func refusalStatus(result table.Result) int {
-	if result.Outcome == fleet.Unknown {
+	var s statusError
+	switch {
+	case errors.As(result.Err, &s):
+		return s.HTTPStatus()
+	case result.Outcome == fleet.Unknown:
 		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
 	}
-	status := http.StatusServiceUnavailable
-	var unauthorized UnauthorizedError
-	var route RouteError
-	var forbidden ForbiddenError
-	var timeout TimeoutError
-	switch {
-	case errors.As(result.Err, &unauthorized):
-		status = http.StatusUnauthorized
-	case errors.As(result.Err, &route):
-		status = http.StatusNotFound
-	case errors.As(result.Err, &forbidden):
-		status = http.StatusForbidden
-	case errors.As(result.Err, &timeout):
-		status = http.StatusBadRequest
-	}
-	return status
 }
 
 func (h *Handler) logResult(q request, result table.Result) {
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/service/hostlist"
 )
@@ -15,11 +16,15 @@
 	configRetry = time.Second
 	// hostListPeriod is the time between two fetches of the host list. Heartbeats report changes sooner.
 	hostListPeriod = 2 * time.Second
+	// peerConfigPeriod is the time between two comparisons with the revisions that other nodes announce.
+	peerConfigPeriod = time.Second
 )
 
 func (n *Node) periodic() []*job {
 	return []*job{
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
+		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
+		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
@@ -33,6 +38,7 @@
 		if c := n.Config.Current(); c != nil && c.Revision != revision {
 			revision = c.Revision
 			n.health.Sync(time.Now(), c)
+			n.refreshGroups(time.Now())
 			n.Log.Info().Int64("revision", revision).Msg("configuration is in force")
 		}
 		if err != nil && ctx.Err() == nil {
@@ -42,6 +48,10 @@
 	}
 }
 
+func (n *Node) checkPeerConfig(ctx context.Context) {
+	n.follower.CheckPeers(ctx, time.Now())
+}
+
 func (n *Node) hostListJob() func(ctx context.Context) {
 	var previous hostlist.List
 	return func(ctx context.Context) {
@@ -54,6 +64,7 @@
 		}
 		previous = list
 		n.members.AdoptHostList(list.Hosts, time.Now())
+		n.refreshGroups(time.Now())
 		n.health.AdoptHostList(time.Now(), list.BackendServersLeaving)
 	}
 }
--- a/service/node/health.go
+++ b/service/node/health.go
@@ -74,7 +74,7 @@
 	for _, target := range n.healthQuery.ProbeTargets(now) {
 		service := target.Server.Service
 		if _, known := groups[service]; !known {
-			groups[service] = n.groupOf(service, now)
+			groups[service] = n.Members.Group(service)
 		}
 		if target.Leaving || isProber(self, target, groups[service]) {
 			n.probeOne(ctx, target)
@@ -82,14 +82,6 @@
 	}
 }
 
-func (n *Node) groupOf(service string, now time.Time) []fleet.Host {
-	c := n.Config.Current()
-	if c == nil {
-		return nil
-	}
-	return n.Members.Group(c.Services[service], now)
-}
-
 func isProber(self fleet.Host, target healthquery.ProbeTarget, members []fleet.Host) bool {
 	probers := group.Probers(target.Server.Address, members)
 	return slices.ContainsFunc(probers, func(h fleet.Host) bool { return h.ID == self.ID })
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -3,8 +3,8 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,18 +17,22 @@
 
 	"egretline.example/egretline/pkg/configcmd"
 	"egretline.example/egretline/pkg/configquery"
+	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/pkg/healthquery"
+	"egretline.example/egretline/pkg/keycmd"
 	"egretline.example/egretline/pkg/membercmd"
 	"egretline.example/egretline/pkg/memberquery"
+	"egretline.example/egretline/pkg/pool"
 	"egretline.example/egretline/pkg/settings"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/pkg/trace"
 	"egretline.example/egretline/service/backend"
 	"egretline.example/egretline/service/caller"
 	"egretline.example/egretline/service/hostlist"
+	"egretline.example/egretline/service/peer"
 	"egretline.example/egretline/service/platformlog"
 )
 
@@ -58,6 +62,11 @@
 	servers   []*server
 	failed    chan error
 
+	peers     *peer.Client
+	forwarder *peer.Forwarder
+	beats     *pool.Pool[beat]
+	keys      *keycmd.Commands
+
 	health      *healthcmd.Commands
 	healthQuery *healthquery.Queries
 	prober      *backend.Prober
@@ -76,6 +85,9 @@
 // New returns a node that does not serve yet. Port 0 in an address of the settings is replaced by the port that was
 // bound. It returns a wrapped net error if an address cannot be bound.
 func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+	if err := checkHostID(s.HostID); err != nil {
+		return nil, err
+	}
 	servers, err := bind(&s)
 	if err != nil {
 		return nil, err
@@ -84,7 +96,7 @@
 		ID: s.HostID, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 	}
-	t := table.New(self, rand.Text())
+	t := table.New(self, member.Incarnation(time.Now(), rand.Uint32()))
 	platform := &http.Client{Timeout: platformTimeout}
 	health := &healthcmd.Commands{Tables: t}
 	transport := backend.NewTransport()
@@ -99,6 +111,7 @@
 			Log: platformlog.New(s.LogURL, platform), Config: t.Config, Logger: log,
 		},
 		members:   &membercmd.Commands{Tables: t},
+		keys:      &keycmd.Commands{Tables: t},
 		hosts:     &hostlist.Client{URL: s.HostListURL, HTTP: platform},
 		transport: transport,
 		failed:    make(chan error, 1),
@@ -113,7 +126,13 @@
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
 	n.servers = servers
-	n.handle("caller", n.callerMux())
+	n.peers = &peer.Client{Transport: peer.NewTransport(nil)}
+	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
+	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
+	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
+	calls := n.callHandler()
+	n.handle("caller", calls)
+	n.handle("peer", n.peerMux(calls.Forwarded()))
 	n.handle("operator", n.operatorMux())
 	return n, nil
 }
@@ -126,6 +145,7 @@
 		address *string
 	}{
 		{"caller", &s.CallerAddress},
+		{"peer", &s.PeerAddress},
 		{"operator", &s.OperatorAddress},
 	} {
 		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", *b.address)
@@ -151,10 +171,18 @@
 	}
 }
 
-func (n *Node) callerMux() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/", caller.New(n.Config, n.Dispatcher, n.transport, n.Log))
-	return mux
+func (n *Node) callHandler() *caller.Handler {
+	return &caller.Handler{
+		Routes:     n.Config,
+		Dispatcher: n.Dispatcher,
+		Homes:      n.Members,
+		Keys:       n.keys,
+		Groups:     n.Members,
+		Forwarder:  n.forwarder,
+		Transport:  n.transport,
+		EntryTTL:   n.Settings.EntryTTL.Duration,
+		Log:        n.Log,
+	}
 }
 
 // Run serves until the context ends, then drains. It returns the error of a listener that failed.
@@ -176,6 +204,8 @@
 	stop()
 	done.Wait()
 	closeServers(n.servers)
+	n.forwarder.Close()
+	n.beats.Close()
 	n.Dispatcher.Close()
 	n.transport.CloseIdleConnections()
 	n.closeTrace()
@@ -195,6 +225,7 @@
 // drain marks the node as leaving, serves on for the grace period, and then waits for the requests in flight.
 func (n *Node) drain() error {
 	n.members.SetLeaving()
+	n.sendHeartbeats(context.Background(), time.Now())
 	n.Log.Info().Dur("grace-ms", n.Settings.DrainGrace.Duration).Msg("node is leaving")
 	grace := time.NewTimer(n.Settings.DrainGrace.Duration)
 	defer grace.Stop()
