Show services, backend servers and peers to operators

Cause: operators could not see why a backend server is in use or not. Change: query handlers on the operator listener and the show command, in packages that only read.

--- a/cmd/egretline/cmds/query/register.go
+++ b/cmd/egretline/cmds/query/register.go
@@ -15,6 +15,7 @@
 func all() []subcommands.Command {
 	return []subcommands.Command{
 		&report{},
+		&show{},
 		&version{},
 	}
 }
--- a/pkg/healthquery/states.go
+++ b/pkg/healthquery/states.go
@@ -10,6 +10,9 @@
 	"egretline.example/egretline/pkg/table"
 )
 
+// InUse is the use of a server that takes work.
+const InUse = "in-use"
+
 // Queries reads the Backends table of one node.
 type Queries struct {
 	Tables *table.Tables
@@ -77,6 +80,6 @@
 	case detect.Out(&s.State):
 		return string(s.State.Ejection.Scope)
 	default:
-		return "in-use"
+		return InUse
 	}
 }
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -3,12 +3,16 @@
 import (
 	"net/http"
 	"net/http/pprof"
+
+	"egretline.example/egretline/service/operatorquery"
 )
 
 func (n *Node) operatorMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.ready)
+	state := &operatorquery.State{Configuration: n.Config, Members: n.Members, Health: n.healthQuery}
+	state.Register(mux)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
