--- a/pkg/configfile/decode.go
+++ b/pkg/configfile/decode.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"regexp"
 	"strings"
 
@@ -56,18 +57,43 @@
 	return build(name, d), nil
 }
 
+// wrongType matches the decoder's message about a value of the wrong type, which names Go types.
+var wrongType = regexp.MustCompile(`cannot decode TOML (.+) into .* of type (\S+)`)
+
+// syntax records an error of the decoder.
 func (c *checker) syntax(err error) {
-	line, key, message := 0, "", err.Error()
+	p := fleet.Problem{File: c.file, Message: strings.TrimPrefix(err.Error(), "toml: "), Remedy: "write valid TOML"}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
-		line, _ = decode.Position()
-		key = strings.Join(decode.Key(), ".")
-		message = strings.TrimPrefix(decode.Error(), "toml: ")
+		p.Line, _ = decode.Position()
+		p.Key = strings.Join(decode.Key(), ".")
+	}
+	if m := wrongType.FindStringSubmatch(p.Message); m != nil {
+		p.Message = fmt.Sprintf("a %s where %s is needed", m[1], kind(m[2]))
+		p.Remedy = "write " + kind(m[2])
+	}
+	if strings.Contains(p.Message, "already") {
+		p.Remedy = "keep one of the two and move its keys there"
+		c.faults = append(c.faults, DuplicateError{p})
+		return
+	}
+	c.faults = append(c.faults, SyntaxError{p})
+}
+
+// kind names a Go type of the schema in words.
+func kind(goType string) string {
+	switch goType {
+	case "int":
+		return "a whole number"
+	case "float64":
+		return "a number"
+	case "bool":
+		return "true or false"
+	case "string":
+		return "a text in quotes"
+	default:
+		return "a table or a list"
 	}
-	c.faults = append(c.faults, SyntaxError{fleet.Problem{
-		File: c.file, Line: line, Key: key, Message: message,
-		Remedy: "write valid TOML with the value types of examples/tulpar.toml",
-	}})
 }
 
 func (c *checker) unknownKeys(unknown *toml.StrictMissingError) {
