--- a/service/node/node.go
+++ b/service/node/node.go
@@ -7,7 +7,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,10 +19,13 @@
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/membercmd"
 	"egretline.example/egretline/pkg/memberquery"
 	"egretline.example/egretline/pkg/settings"
 	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/trace"
 	"egretline.example/egretline/service/backend"
 	"egretline.example/egretline/service/caller"
 	"egretline.example/egretline/service/hostlist"
@@ -29,6 +34,9 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout gives the places of callers that are gone back to others.
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
 	// platformTimeout bounds one request to the log or the host list. It is longer than the long poll of the log.
 	platformTimeout = 15 * time.Second
 )
@@ -49,6 +57,13 @@
 	jobs      *scheduler
 	servers   []*server
 	failed    chan error
+
+	health      *healthcmd.Commands
+	healthQuery *healthquery.Queries
+	prober      *backend.Prober
+	recorder    *trace.Recorder
+	traceFile   *os.File
+	wasIsolated atomic.Bool
 }
 
 // server is one listener and the HTTP server on it.
@@ -58,53 +73,82 @@
 	HTTP     *http.Server
 }
 
-// New returns a node that does not serve yet. It returns a wrapped net error if an address cannot be bound.
+// New returns a node that does not serve yet. Port 0 in an address of the settings is replaced by the port that was
+// bound. It returns a wrapped net error if an address cannot be bound.
 func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
+	servers, err := bind(&s)
+	if err != nil {
+		return nil, err
+	}
 	self := fleet.Host{
 		ID: s.HostID, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 	}
 	t := table.New(self, rand.Text())
 	platform := &http.Client{Timeout: platformTimeout}
+	health := &healthcmd.Commands{Tables: t}
+	transport := backend.NewTransport()
 	n := &Node{
 		Settings:   s,
 		Tables:     t,
 		Config:     configquery.Query{Config: t.Config},
 		Members:    &memberquery.Queries{Tables: t},
-		Dispatcher: dispatchcmd.New(t, s.ExchangeWorkers),
+		Dispatcher: dispatchcmd.New(t, health, s.ExchangeWorkers),
 		Log:        log,
 		follower: &configcmd.Follower{
 			Log: platformlog.New(s.LogURL, platform), Config: t.Config, Logger: log,
 		},
 		members:   &membercmd.Commands{Tables: t},
 		hosts:     &hostlist.Client{URL: s.HostListURL, HTTP: platform},
-		transport: backend.NewTransport(),
+		transport: transport,
 		failed:    make(chan error, 1),
+
+		health:      health,
+		healthQuery: &healthquery.Queries{Tables: t},
+		prober:      &backend.Prober{Transport: transport},
+	}
+	if err := n.openTrace(); err != nil {
+		closeServers(servers)
+		return nil, err
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
-	return n, n.listen()
+	n.servers = servers
+	n.handle("caller", n.callerMux())
+	n.handle("operator", n.operatorMux())
+	return n, nil
 }
 
-func (n *Node) listen() error {
-	bind := []struct {
+// bind opens the listeners and writes the addresses that were bound back to the settings.
+func bind(s *settings.Settings) ([]*server, error) {
+	var servers []*server
+	for _, b := range []struct {
 		name    string
-		address string
-		handler http.Handler
+		address *string
 	}{
-		{"caller", n.Settings.CallerAddress, n.callerMux()},
-		{"operator", n.Settings.OperatorAddress, n.operatorMux()},
-	}
-	for _, b := range bind {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", b.address)
+		{"caller", &s.CallerAddress},
+		{"operator", &s.OperatorAddress},
+	} {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", *b.address)
 		if err != nil {
-			n.closeServers()
-			return eris.Wrapf(err, "bind %s listener", b.name)
+			closeServers(servers)
+			return nil, eris.Wrapf(err, "bind %s listener", b.name)
 		}
-		n.servers = append(n.servers, &server{
-			Name: b.name, Listener: l, HTTP: &http.Server{Handler: b.handler, ReadHeaderTimeout: readHeaderTimeout},
+		*b.address = l.Addr().String()
+		servers = append(servers, &server{
+			Name: b.name, Listener: newLimitListener(l, s.MaxConnections), HTTP: &http.Server{
+				ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			},
 		})
 	}
-	return nil
+	return servers, nil
+}
+
+func (n *Node) handle(name string, h http.Handler) {
+	for _, s := range n.servers {
+		if s.Name == name {
+			s.HTTP.Handler = h
+		}
+	}
 }
 
 func (n *Node) callerMux() http.Handler {
@@ -131,9 +175,10 @@
 	}
 	stop()
 	done.Wait()
-	n.closeServers()
+	closeServers(n.servers)
 	n.Dispatcher.Close()
 	n.transport.CloseIdleConnections()
+	n.closeTrace()
 	return err
 }
 
@@ -167,8 +212,8 @@
 	return nil
 }
 
-func (n *Node) closeServers() {
-	for _, s := range n.servers {
+func closeServers(servers []*server) {
+	for _, s := range servers {
 		_ = s.HTTP.Close()
 		_ = s.Listener.Close()
 	}
