--- a/pkg/healthcmd/assert_test.go
+++ b/pkg/healthcmd/assert_test.go
@@ -26,8 +26,8 @@
 	next  int
 }
 
-func newMember(zone string) *member {
-	t := table.New(fleet.Host{ID: "self", AvailabilityZone: zone}, "1")
+func newMember() *member {
+	t := table.New(fleet.Host{ID: "self", AvailabilityZone: "a"}, "1")
 	m := &member{Commands: &Commands{Tables: t}, query: &healthquery.Queries{Tables: t}, now: start}
 	m.Sync(m.now, configuration(6))
 	m.Sweep(m.now)
--- a/pkg/healthcmd/health_test.go
+++ b/pkg/healthcmd/health_test.go
@@ -14,7 +14,7 @@
 // Guards against gray failures that stay in use, and against ejections that several zones did not confirm.
 func TestSweep(t *testing.T) {
 	t.Run("failures of real requests take a server out of use", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		for range 4 {
 			m.round(0)
 		}
@@ -23,7 +23,7 @@
 		assertEligible(t, m, 5)
 	})
 	t.Run("a stall is seen before the timeout", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		m.start(0)
 		m.start(0)
@@ -34,7 +34,7 @@
 		assertReason(t, m, 0, "no response in time")
 	})
 	t.Run("reports of two zones eject", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		for _, zone := range []string{"b", "c"} {
 			m.ApplyReport(m.now, PeerReport{HostID: zone, AvailabilityZone: zone, Suspicions: suspicions(0)})
@@ -43,7 +43,7 @@
 		assertUse(t, m, 0, "ejected")
 	})
 	t.Run("reports of one zone do not", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		for _, host := range []string{"b1", "b2"} {
 			m.ApplyReport(m.now, PeerReport{HostID: host, AvailabilityZone: "b", Suspicions: suspicions(0)})
@@ -52,7 +52,7 @@
 		assertUse(t, m, 0, "in-use")
 	})
 	t.Run("the floor keeps suspected servers in use", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		for range 20 {
 			m.round(0, 1)
@@ -69,7 +69,7 @@
 // Guards against faults of the node itself that eject healthy servers.
 func TestNodeFaults(t *testing.T) {
 	t.Run("a paused node discards ages and the failures that follow", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		var flights []table.Assignment
 		for range 6 {
@@ -84,7 +84,7 @@
 		assertUse(t, m, 0, "in-use")
 	})
 	t.Run("an isolated node ejects and reports nothing", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		for range 20 {
 			m.round(0, 1, 2, 3, 4)
@@ -95,7 +95,7 @@
 		assertEligible(t, m, 6)
 	})
 	t.Run("a request that expires while it connects blames no server", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.round()
 		for range 10 {
 			a := m.start(0)
@@ -120,21 +120,21 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := newMember("a")
+			m := newMember()
 			sign(m)
 			assertUse(t, m, 0, "leaving")
 			assertEligible(t, m, 5)
 		})
 	}
 	t.Run("a report of a peer is not passed on", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.ApplyReport(m.now, PeerReport{HostID: "b", Leaving: []table.ServerKey{key(0)}})
 		m.request(1, fleet.Draining)
 		is := is.New(t)
 		is.Equal(m.query.Report(m.now).Leaving, []table.ServerKey{key(1)})
 	})
 	t.Run("a late probe without the sign ends it", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.request(0, fleet.Draining)
 		m.ObserveProbe(m.now, Probe{Server: key(0), Evidence: fleet.Succeeded})
 		assertUse(t, m, 0, "leaving")
@@ -148,7 +148,7 @@
 // Guards against configuration changes that cut requests in flight or give new work to a removed server.
 func TestSync(t *testing.T) {
 	t.Run("a removed server leaves and is dropped when its requests have ended", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		a := m.start(5)
 		m.Sync(m.now, configuration(5))
 		assertUse(t, m, 5, "leaving")
@@ -157,7 +157,7 @@
 		is.New(t).Equal(len(m.query.Servers(m.now)), 5)
 	})
 	t.Run("a server that is added again while it drains is in use", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		a := m.start(5)
 		m.Sync(m.now, configuration(5))
 		m.Sync(m.now, configuration(6))
@@ -166,7 +166,7 @@
 		assertUse(t, m, 5, "in-use")
 	})
 	t.Run("only servers that join a known pool have a cold start", func(t *testing.T) {
-		m := newMember("a")
+		m := newMember()
 		m.Sync(m.now, configuration(7))
 		m.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 			is := is.New(t)
--- a/pkg/memberquery/entries.go
+++ b/pkg/memberquery/entries.go
@@ -18,6 +18,19 @@
 	KeyPrefix string
 }
 
+// Home is the place of the home of an idempotency key, seen from this node.
+type Home string
+
+// Places of a home.
+const (
+	// HomeHere means that this incarnation of this node is the home.
+	HomeHere Home = "here"
+	// HomeElsewhere means that the home may be another live node, to which the request can be forwarded.
+	HomeElsewhere Home = "elsewhere"
+	// HomeGone means that the home has ended, or is not known to this node. Whether the key has run is not known.
+	HomeGone Home = "gone"
+)
+
 // Entries returns the nodes that callers in the availability zone should use for the service, in order of preference.
 // Leaving nodes are left out.
 func (q *Queries) Entries(s fleet.Service, availabilityZone string, now time.Time) []Entry {
@@ -39,19 +52,29 @@
 	return prefix
 }
 
-// Locate returns where the home of the key is, and its host if that is another one.
-func (q *Queries) Locate(k once.Key) (once.Place, fleet.Host) {
-	var place once.Place
+// Home returns where the home of the key is, and its host if that is elsewhere.
+func (q *Queries) Home(k once.Key) (Home, fleet.Host) {
+	home := HomeGone
 	var host fleet.Host
 	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
-		place = once.Locate(k, m.Self.ID, m.Incarnation)
-		s, known := m.View.Hosts[k.Host]
-		if place == once.Elsewhere && !known {
-			place = once.Gone
-		}
-		host = s.Host
+		home, host = place(m, k)
 	})
-	return place, host
+	return home, host
+}
+
+// place does not ask whether the other host is live: only a failed forward shows that it cannot be reached.
+func place(m *table.Members, k once.Key) (Home, fleet.Host) {
+	if k.Host == m.Self.ID {
+		if k.Incarnation == m.Incarnation {
+			return HomeHere, m.Self
+		}
+		return HomeGone, fleet.Host{}
+	}
+	s, known := m.View.Hosts[k.Host]
+	if !known {
+		return HomeGone, fleet.Host{}
+	}
+	return HomeElsewhere, s.Host
 }
 
 // keyPrefix returns the prefix for a host whose epoch is known to be recent. The home accepts the previous epoch too, so
--- a/pkg/table/members.go
+++ b/pkg/table/members.go
@@ -11,7 +11,7 @@
 type Members struct {
 	Self        fleet.Host
 	Incarnation string
-	// Started is the time from which the epochs of idempotency keys are counted. It carries the monotonic clock reading.
+	// Started is the time from which the node counts its idempotency key epochs.
 	Started time.Time
 	// View is the knowledge of other hosts. It does not hold the node itself.
 	View member.View
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -29,7 +29,6 @@
 	Members  *guard.Guard[Members]
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
-	Keys     *guard.Guard[Keys]
 }
 
 // New returns empty tables for the node on the given host.
@@ -39,7 +38,6 @@
 		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
 		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
-		Keys:     guard.New(RankKeys, newKeys()),
 	}
 }
 
