Test service groups and the state of hosts with properties

Cause: groups must not move when an unrelated host changes, and the state of a host comes from sources that lag and disagree. Change: property-based tests of groups, probers and host state; ranking sorts indices and hashes without allocations.

--- a/pkg/decide/group/group.go
+++ b/pkg/decide/group/group.go
@@ -3,7 +3,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 
@@ -25,7 +24,9 @@
 	var first, rest []fleet.Host
 	for _, h := range ranked {
 		if seen[h.AvailabilityZone] {
-			rest = append(rest, h)
+			if len(rest) < size {
+				rest = append(rest, h)
+			}
 			continue
 		}
 		seen[h.AvailabilityZone] = true
@@ -75,7 +76,7 @@
 // different availability zones, or one if all members share a zone.
 func Probers(address string, members []fleet.Host) []fleet.Host {
 	var probers []fleet.Host
-	for _, h := range rank(address, slices.Clone(members)) {
+	for _, h := range rank(address, members) {
 		if len(probers) == 0 {
 			probers = append(probers, h)
 			continue
@@ -97,23 +98,28 @@
 	return rank("snapshot", candidates)[0], true
 }
 
-// rank sorts the hosts by descending score for the key.
+// rank sorts the hosts by descending score for the key. It sorts scores and indices, because moving hosts while sorting
+// took most of the time with 840 of them.
 func rank(key string, hosts []fleet.Host) []fleet.Host {
-	scored := make([]scoredHost, 0, len(hosts))
-	for _, h := range hosts {
-		scored = append(scored, scoredHost{host: h, score: score(key, h)})
+	scored := make([]scoredHost, len(hosts))
+	for i, h := range hosts {
+		scored[i] = scoredHost{index: i, score: score(key, h)}
 	}
 	slices.SortFunc(scored, func(a, b scoredHost) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.ID, b.host.ID))
+		if a.score != b.score {
+			return cmp.Compare(b.score, a.score)
+		}
+		return cmp.Compare(hosts[a.index].ID, hosts[b.index].ID)
 	})
+	ranked := make([]fleet.Host, len(hosts))
 	for i, s := range scored {
-		hosts[i] = s.host
+		ranked[i] = hosts[s.index]
 	}
-	return hosts
+	return ranked
 }
 
 type scoredHost struct {
-	host  fleet.Host
+	index int
 	score float64
 }
 
@@ -130,10 +136,20 @@
 	return -weight / math.Log(u)
 }
 
+// hash is FNV-1a of the key, a zero byte and the host, without the allocations of hash/fnv.
 func hash(key, host string) uint64 {
-	f := fnv.New64a()
-	_, _ = f.Write([]byte(key + "\x00" + host))
-	v := f.Sum64()
+	const (
+		offset = 14695981039346656037
+		prime  = 1099511628211
+	)
+	v := uint64(offset)
+	for i := range len(key) {
+		v = (v ^ uint64(key[i])) * prime
+	}
+	v *= prime
+	for i := range len(host) {
+		v = (v ^ uint64(host[i])) * prime
+	}
 	// FNV of short keys with a common prefix is correlated in its high bits; the finalizer of SplitMix64 spreads them.
 	v = (v ^ v>>30) * 0xbf58476d1ce4e5b9
 	v = (v ^ v>>27) * 0x94d049bb133111eb
--- /dev/null
+++ b/pkg/decide/group/group_test.go
@@ -0,0 +1,211 @@
+package group
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+func drawHosts(t *rapid.T) []fleet.Host {
+	count := rapid.IntRange(1, 60).Draw(t, "hosts")
+	zones := rapid.IntRange(1, 4).Draw(t, "zones")
+	hosts := make([]fleet.Host, count)
+	for i := range hosts {
+		hosts[i] = fleet.Host{
+			ID: fmt.Sprintf("h%d", i), Region: "r",
+			AvailabilityZone: fmt.Sprintf("z%d", rapid.IntRange(0, zones-1).Draw(t, "zone")),
+			Weight:           rapid.SampledFrom([]float64{0, 0.5, 1, 3}).Draw(t, "weight"),
+		}
+	}
+	return hosts
+}
+
+func drawService(t *rapid.T) fleet.Service {
+	return fleet.Service{
+		Name: rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "service"), Region: "r",
+		GroupSize: rapid.IntRange(0, 6).Draw(t, "group size"),
+	}
+}
+
+// missing returns the hosts that are in a and not in b.
+func missing(a, b []fleet.Host) []string {
+	var ids []string
+	for _, h := range a {
+		if !slices.ContainsFunc(b, func(o fleet.Host) bool { return o.ID == h.ID }) {
+			ids = append(ids, h.ID)
+		}
+	}
+	return ids
+}
+
+func zones(hosts []fleet.Host) map[string]bool {
+	all := map[string]bool{}
+	for _, h := range hosts {
+		all[h.AvailabilityZone] = true
+	}
+	return all
+}
+
+// Guards against groups that move to other nodes when an unrelated host comes or goes, which would lose the health
+// evidence of their members.
+func TestOneHostChangesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, s := drawHosts(t), drawService(t)
+		gone := rapid.SampledFrom(hosts).Draw(t, "gone")
+		with := Members(s, hosts)
+		without := Members(s, slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.ID == gone.ID }))
+		for _, id := range missing(with, without) {
+			if id != gone.ID {
+				t.Fatalf("%s lost its place when %s left", id, gone.ID)
+			}
+		}
+		if added := missing(without, with); len(added) > 1 || (len(added) == 1 && len(missing(with, without)) == 0) {
+			t.Fatalf("%v were added when %s left", added, gone.ID)
+		}
+	})
+}
+
+// Guards against a service that an outage of one availability zone stops.
+func TestGroupSpansZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, s := drawHosts(t), drawService(t)
+		for i := range hosts {
+			hosts[i].Leaving = rapid.IntRange(0, 9).Draw(t, "leaving") == 0
+			if rapid.IntRange(0, 9).Draw(t, "other region") == 0 {
+				hosts[i].Region = "other"
+			}
+		}
+		usable := eligible(s, hosts)
+		members := Members(s, hosts)
+		for _, h := range members {
+			if h.Leaving || h.Region != "r" {
+				t.Fatalf("%v is leaving or in another region", h)
+			}
+		}
+		size := s.GroupSize
+		if size == 0 {
+			size = DefaultSize
+		}
+		if len(members) != max(len(zones(usable)), min(size, len(usable))) {
+			t.Fatalf("%d members of %d usable hosts", len(members), len(usable))
+		}
+		if len(zones(members)) != len(zones(usable)) || len(missing(members, usable)) > 0 {
+			t.Fatalf("members %v do not span the zones of the usable hosts", members)
+		}
+	})
+}
+
+func evenHosts(n int) []fleet.Host {
+	hosts := make([]fleet.Host, n)
+	for i := range hosts {
+		hosts[i] = fleet.Host{ID: fmt.Sprintf("host-%03d", i), Region: "r", AvailabilityZone: fmt.Sprintf("z%d", i%4)}
+	}
+	return hosts
+}
+
+func memberships(hosts []fleet.Host, services int) map[string]int {
+	counts := map[string]int{}
+	for i := range services {
+		for _, h := range Members(fleet.Service{Name: fmt.Sprintf("service-%d", i), Region: "r"}, hosts) {
+			counts[h.ID]++
+		}
+	}
+	return counts
+}
+
+// assertBalance allows six standard deviations of a fair random choice.
+func assertBalance(t *testing.T, count int, expected float64) {
+	t.Helper()
+	is.New(t).True(math.Abs(float64(count)-expected) <= 6*math.Sqrt(expected))
+}
+
+// Guards against a hash that gives some hosts many more services than others.
+func TestBalance(t *testing.T) {
+	for _, n := range []int{44, 840} {
+		t.Run(fmt.Sprintf("%d hosts", n), func(t *testing.T) {
+			const services = 2000
+			hosts := evenHosts(n)
+			counts := memberships(hosts, services)
+			for _, h := range hosts {
+				assertBalance(t, counts[h.ID], services*DefaultSize/float64(n))
+			}
+		})
+	}
+	t.Run("a host of weight 3 gets three shares", func(t *testing.T) {
+		const services = 2000
+		hosts := evenHosts(40)
+		hosts[0].Weight = 3
+		// The host competes with the nine others of its zone for the one place of the zone.
+		assertBalance(t, memberships(hosts, services)["host-000"], services*3/12.0)
+	})
+}
+
+func assertIDs(t *testing.T, hosts []fleet.Host, want string) {
+	t.Helper()
+	var ids []string
+	for _, h := range hosts {
+		ids = append(ids, h.ID)
+	}
+	is.New(t).Equal(strings.Join(ids, " "), want)
+}
+
+func TestOrder(t *testing.T) {
+	hosts := []fleet.Host{
+		{ID: "a1", AvailabilityZone: "a"}, {ID: "b1", AvailabilityZone: "b"}, {ID: "b2", AvailabilityZone: "b"},
+		{ID: "c1", AvailabilityZone: "c"}, {ID: "a2", AvailabilityZone: "a"},
+	}
+	t.Run("the caller's zone comes first and the others alternate", func(t *testing.T) {
+		assertIDs(t, Order(hosts, "b"), "b1 b2 a1 c1 a2")
+	})
+	t.Run("an unknown zone keeps all hosts", func(t *testing.T) {
+		assertIDs(t, Order(hosts, ""), "a1 b1 c1 a2 b2")
+	})
+	t.Run("no hosts", func(t *testing.T) {
+		assertIDs(t, Order(nil, "a"), "")
+	})
+}
+
+func TestProbers(t *testing.T) {
+	t.Run("two probers are in different zones", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			hosts := drawHosts(t)
+			probers := Probers("10.0.0.1:80", hosts)
+			if len(probers) != min(2, len(zones(hosts))) || len(zones(probers)) != len(probers) {
+				t.Fatalf("probers %v", probers)
+			}
+		})
+	})
+	t.Run("no members", func(t *testing.T) {
+		assertIDs(t, Probers("10.0.0.1:80", nil), "")
+	})
+}
+
+func TestSnapshotWriter(t *testing.T) {
+	is := is.New(t)
+	hosts := evenHosts(3)
+	first, found := SnapshotWriter(hosts)
+	is.True(found)
+	for i := range hosts {
+		hosts[i].Leaving = hosts[i].ID == first.ID
+	}
+	second, found := SnapshotWriter(hosts)
+	is.True(found)
+	is.True(second.ID != first.ID) // a leaving node must hand the task over
+	_, found = SnapshotWriter(nil)
+	is.Equal(found, false)
+}
+
+// Measures the cost of one group at the size of two years.
+func BenchmarkMembers840(b *testing.B) {
+	hosts := evenHosts(840)
+	for b.Loop() {
+		Members(fleet.Service{Name: "service", Region: "r"}, hosts)
+	}
+}
--- /dev/null
+++ b/pkg/decide/member/member_test.go
@@ -0,0 +1,203 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	hostA = fleet.Host{ID: "a", PeerAddress: "10.0.0.1:1"}
+)
+
+func newView() *View { return &View{Hosts: map[string]State{}} }
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func beat(incarnation string) Heartbeat { return Heartbeat{Host: hostA, Incarnation: incarnation} }
+
+func assertLive(t *testing.T, v *View, now time.Time, want bool) {
+	t.Helper()
+	s, known := v.Hosts["a"]
+	is.New(t).Equal(known && Live(*v, s, now), want)
+}
+
+func fail(v *View, now time.Time) {
+	for range FailureLimit {
+		Contacted(v, "a", false, now)
+	}
+}
+
+func TestHostList(t *testing.T) {
+	t.Run("a listed host is live before its first heartbeat", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		assertLive(t, v, at(time.Hour), true)
+	})
+	t.Run("the node itself is left out", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "a", []fleet.Host{hostA}, start)
+		assertLive(t, v, start, false)
+	})
+	t.Run("a host that the list does not have yet is live while it is heard", func(t *testing.T) {
+		v := newView()
+		AdoptHeartbeat(v, beat("1"), start)
+		AdoptList(v, "self", nil, at(time.Second))
+		assertLive(t, v, at(Silence), true)
+		assertLive(t, v, at(Silence+1), false)
+	})
+	t.Run("a host that left the list is forgotten once it is silent", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		AdoptList(v, "self", nil, at(time.Second))
+		is.New(t).Equal(len(v.Hosts), 0)
+	})
+	t.Run("a stale list keeps the last known hosts", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		assertLive(t, v, at(24*time.Hour), true)
+	})
+	t.Run("a lagging list does not take back that a host is leaving", func(t *testing.T) {
+		v := newView()
+		leaving := beat("1")
+		leaving.Host.Leaving = true
+		AdoptHeartbeat(v, leaving, start)
+		AdoptList(v, "self", []fleet.Host{hostA}, at(time.Second))
+		is.New(t).True(v.Hosts["a"].Host.Leaving)
+	})
+	t.Run("a replaced host starts with a clean record", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		fail(v, start)
+		assertLive(t, v, start, false)
+		moved := hostA
+		moved.PeerAddress = "10.0.0.2:1"
+		AdoptList(v, "self", []fleet.Host{moved}, at(time.Second))
+		assertLive(t, v, at(time.Second), true)
+	})
+}
+
+func TestOwnObservation(t *testing.T) {
+	t.Run("one failed contact is not enough", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		Contacted(v, "a", false, start)
+		assertLive(t, v, start, true)
+	})
+	t.Run("failed contacts count against a silent host on the list", func(t *testing.T) {
+		v := newView()
+		AdoptList(v, "self", []fleet.Host{hostA}, start)
+		fail(v, start)
+		assertLive(t, v, start, false)
+		Contacted(v, "a", true, at(time.Second))
+		assertLive(t, v, at(time.Second), true)
+	})
+	t.Run("a host behind a one-way partition is live but not reachable", func(t *testing.T) {
+		v := newView()
+		AdoptHeartbeat(v, beat("1"), start)
+		fail(v, start)
+		assertLive(t, v, start, true)
+		is.New(t).Equal(Reachable(v.Hosts["a"]), false)
+	})
+	t.Run("a contact with an unknown host is ignored", func(t *testing.T) {
+		v := newView()
+		Contacted(v, "a", true, start)
+		is.New(t).Equal(len(v.Hosts), 0)
+	})
+}
+
+func TestIncarnations(t *testing.T) {
+	t.Run("names order by start time", func(t *testing.T) {
+		is.New(t).True(Incarnation(start, 9) < Incarnation(at(time.Nanosecond), 0))
+	})
+	t.Run("a delayed heartbeat of the last run is ignored", func(t *testing.T) {
+		is := is.New(t)
+		v := newView()
+		is.Equal(AdoptHeartbeat(v, beat("2"), start), Adopted)
+		is.Equal(AdoptHeartbeat(v, beat("1"), at(time.Second)), Superseded)
+		is.Equal(v.Hosts["a"].Incarnation, "2")
+	})
+	t.Run("a restart at the same address is a new run that is not leaving", func(t *testing.T) {
+		is := is.New(t)
+		v := newView()
+		leaving := beat("1")
+		leaving.Host.Leaving = true
+		leaving.Epoch = 7
+		AdoptHeartbeat(v, leaving, start)
+		is.Equal(AdoptHeartbeat(v, beat("2"), at(time.Second)), Adopted)
+		is.Equal(v.Hosts["a"].Host.Leaving, false)
+		is.Equal(v.Hosts["a"].Epoch, int64(0)) // epochs of the last run would give keys that the new one refuses
+	})
+	t.Run("a host whose clock went back is adopted once the last run is silent", func(t *testing.T) {
+		v := newView()
+		AdoptHeartbeat(v, beat("2"), start)
+		is.New(t).Equal(AdoptHeartbeat(v, beat("1"), at(Silence+1)), Adopted)
+	})
+	t.Run("heartbeats of one run that overtake each other do not take back leaving", func(t *testing.T) {
+		v := newView()
+		leaving := beat("1")
+		leaving.Host.Leaving = true
+		AdoptHeartbeat(v, leaving, start)
+		AdoptHeartbeat(v, beat("1"), at(time.Second))
+		is.New(t).True(v.Hosts["a"].Host.Leaving)
+	})
+}
+
+func TestPause(t *testing.T) {
+	t.Run("a node that wakes does not count the pause as silence of others", func(t *testing.T) {
+		is := is.New(t)
+		v := newView()
+		AdoptHeartbeat(v, beat("1"), start)
+		is.Equal(Tick(v, start), false)
+		is.Equal(Tick(v, at(time.Minute)), true)
+		assertLive(t, v, at(time.Minute), true)
+		assertLive(t, v, at(time.Minute+Silence+1), false)
+	})
+	t.Run("a late tick is not a pause", func(t *testing.T) {
+		v := newView()
+		Tick(v, start)
+		is.New(t).Equal(Tick(v, at(HeartbeatInterval+PauseLimit)), false)
+	})
+}
+
+// Guards against a view in which the order of list, heartbeats and own failures hides a host that is heard.
+func TestHeardHostIsLive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := newView()
+		now := start
+		incarnation := 10
+		heard := time.Time{}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 7000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"list": func(t *rapid.T) {
+				AdoptList(v, "self", [][]fleet.Host{nil, {hostA}}[rapid.IntRange(0, 1).Draw(t, "listed")], now)
+			},
+			"beat": func(t *rapid.T) {
+				incarnation += rapid.IntRange(0, 1).Draw(t, "restart")
+				if AdoptHeartbeat(v, beat(Incarnation(time.Unix(int64(incarnation), 0), 0)), now) != Adopted {
+					t.Fatal("the newest incarnation was ignored")
+				}
+				heard = now
+			},
+			"old beat": func(*rapid.T) {
+				if AdoptHeartbeat(v, beat(Incarnation(time.Unix(1, 0), 0)), now) == Adopted {
+					heard = now
+				}
+			},
+			"failure": func(*rapid.T) { Contacted(v, "a", false, now) },
+			"": func(t *rapid.T) {
+				s, known := v.Hosts["a"]
+				if !heard.IsZero() && now.Sub(heard) <= Silence && (!known || !Live(*v, s, now)) {
+					t.Fatal("a host that was just heard is not live")
+				}
+			},
+		})
+	})
+}
