--- a/pkg/configquery/query_test.go
+++ b/pkg/configquery/query_test.go
@@ -28,6 +28,10 @@
 			{Name: "loan", Method: "GET", PathPrefix: "/loan"},
 			{Name: "all", Method: "GET", PathPrefix: "/"},
 		},
+		RouteIndex: map[fleet.RouteKey]int{
+			{Method: "GET", PathPrefix: "/loan"}: 0,
+			{Method: "GET", PathPrefix: "/"}:     1,
+		},
 		Tenants: map[string]fleet.Tenant{"hash": {Name: "shop"}},
 	})
 	t.Run("a prefix matches whole segments", func(t *testing.T) {
--- a/service/operatorquery/state.go
+++ b/service/operatorquery/state.go
@@ -24,7 +24,7 @@
 	Self() (fleet.Host, string)
 	Peers() []member.State
 	Live(now time.Time) []fleet.Host
-	Group(s fleet.Service, now time.Time) []fleet.Host
+	Group(service string) []fleet.Host
 }
 
 // Health reads the state of backend servers.
@@ -57,19 +57,19 @@
 	}
 	if c := s.Configuration.Current(); c != nil {
 		for _, service := range c.Services {
-			response.Services = append(response.Services, s.service(service, inUse[service.Name], now))
+			response.Services = append(response.Services, s.service(service, inUse[service.Name]))
 		}
 	}
 	slices.SortFunc(response.Services, func(a, b api.Service) int { return cmp.Compare(a.Name, b.Name) })
 	write(w, response)
 }
 
-func (s *State) service(f fleet.Service, inUse int, now time.Time) api.Service {
+func (s *State) service(f fleet.Service, inUse int) api.Service {
 	service := api.Service{
 		Name: f.Name, Region: f.Region, Floor: f.Floor, Preference: string(f.Preference),
 		BackendServers: len(f.BackendServers), InUse: inUse, Group: []string{},
 	}
-	for _, h := range s.Members.Group(f, now) {
+	for _, h := range s.Members.Group(f.Name) {
 		service.Group = append(service.Group, h.ID)
 	}
 	return service
