Build the routes of the query test by merging

Cause: queries find routes by the index that merging builds; the test of configquery, written at the same time, filled the list of routes only. Change: the test merges a file, and covers a prefix that ends in a slash. Result: go test ./pkg/configquery passes.

--- a/pkg/configquery/query_test.go
+++ b/pkg/configquery/query_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"egretline.example/egretline/pkg/configfile"
 	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -23,16 +24,19 @@
 
 // Guards against a tenant or a route that is found by a wrong hash or path.
 func TestQuery(t *testing.T) {
-	q := newQuery(&fleet.Configuration{
+	q := newQuery(configfile.Merge([]fleet.File{{
 		Routes: []fleet.Route{
 			{Name: "loan", Method: "GET", PathPrefix: "/loan"},
+			{Name: "loan-folder", Method: "GET", PathPrefix: "/loan/folder/"},
 			{Name: "all", Method: "GET", PathPrefix: "/"},
 		},
-		Tenants: map[string]fleet.Tenant{"hash": {Name: "shop"}},
-	})
+		Tenants: []fleet.Tenant{{Name: "shop", TokenSHA256: "hash"}},
+	}}))
 	t.Run("a prefix matches whole segments", func(t *testing.T) {
 		assertRoute(t, q, "GET", "/loan", "loan")
 		assertRoute(t, q, "GET", "/loan/7", "loan")
+		assertRoute(t, q, "GET", "/loan/folder", "loan")
+		assertRoute(t, q, "GET", "/loan/folder/7", "loan-folder")
 		assertRoute(t, q, "GET", "/loans", "all")
 		assertRoute(t, q, "POST", "/loan", "")
 	})
