--- a/service/operatorquery/state.go
+++ b/service/operatorquery/state.go
@@ -47,10 +47,9 @@
 }
 
 func (s *State) services(w http.ResponseWriter, _ *http.Request) {
-	now := time.Now()
 	response := api.Services{Services: []api.Service{}}
 	inUse := map[string]int{}
-	for _, b := range s.Health.Servers(now) {
+	for _, b := range s.Health.Servers(time.Now()) {
 		if b.Use == healthquery.InUse {
 			inUse[b.Service]++
 		}
