Add TLS with certificate reload and a drain on request

Cause: nodes talk to each other over untrusted networks, and a planned stop must cut no request. Change: service/tlsfiles, settings for caller and peer certificates, POST /operator/drain; a leaving node ends connections after their response, announces itself to all hosts at once and serves on for the drain grace.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -10,6 +10,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
+
+	"egretline.example/egretline/pkg/decide/once"
 )
 
 // Defaults of settings that the file leaves out.
@@ -74,6 +76,14 @@
 	EntryTTL   Duration `toml:"entry-ttl"`
 	DrainGrace Duration `toml:"drain-grace"`
 
+	// CallerCertificate and CallerKey are PEM files for TLS towards callers; empty for plain HTTP.
+	CallerCertificate string `toml:"caller-certificate"`
+	CallerKey         string `toml:"caller-key"`
+	// PeerCertificate, PeerKey and PeerAuthority are PEM files for mutual TLS between nodes; empty for plain HTTP.
+	PeerCertificate string `toml:"peer-certificate"`
+	PeerKey         string `toml:"peer-key"`
+	PeerAuthority   string `toml:"peer-authority"`
+
 	LogLevel string `toml:"log-level"`
 	// TraceFile is where evidence about backend servers is recorded; empty for none.
 	TraceFile string `toml:"trace-file"`
@@ -160,5 +170,18 @@
 	if s.DrainGrace.Duration <= s.EntryTTL.Duration {
 		return FileError{Path: path, Key: "drain-grace", Remedy: "must be longer than entry-ttl, so that callers with a cached entry are still served"}
 	}
+	if !once.ValidHost(s.HostID) {
+		return FileError{Path: path, Key: "host-id", Remedy: "is part of idempotency keys; use 1 to 63 letters, digits, '-' and '_'"}
+	}
+	return checkTLS(path, s)
+}
+
+func checkTLS(path string, s Settings) error {
+	if (s.CallerCertificate == "") != (s.CallerKey == "") {
+		return FileError{Path: path, Key: "caller-certificate, caller-key", Remedy: "write both or neither"}
+	}
+	if (s.PeerCertificate == "") != (s.PeerKey == "") || (s.PeerCertificate == "") != (s.PeerAuthority == "") {
+		return FileError{Path: path, Key: "peer-certificate, peer-key, peer-authority", Remedy: "write all three or none"}
+	}
 	return nil
 }
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -40,6 +40,15 @@
 	t.Run("no workers", func(t *testing.T) {
 		assertRefused(t, strings.Replace(valid, "exchange-workers = 256", "exchange-workers = 0", 1), "exchange-workers")
 	})
+	t.Run("a host ID that cannot be part of a key", func(t *testing.T) {
+		assertRefused(t, strings.Replace(valid, `host-id = "`, `host-id = "a.`, 1), "host-id")
+	})
+	t.Run("a certificate without its key", func(t *testing.T) {
+		assertRefused(t, valid+"\ncaller-certificate = \"c.pem\"\n", "caller-key")
+	})
+	t.Run("certificates between nodes without an authority", func(t *testing.T) {
+		assertRefused(t, valid+"\npeer-certificate = \"c.pem\"\npeer-key = \"k.pem\"\n", "peer-authority")
+	})
 	t.Run("not TOML", func(t *testing.T) {
 		assertRefused(t, "host-id = ", "")
 	})
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -25,6 +25,7 @@
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
+		{Name: "certificates", Every: certificatePeriod, Run: n.reloadCertificates},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -67,6 +67,10 @@
 	beats     *pool.Pool[beat]
 	keys      *keycmd.Commands
 
+	certificates certificates
+	drainRequest chan struct{}
+	drainOnce    sync.Once
+
 	health      *healthcmd.Commands
 	healthQuery *healthquery.Queries
 	prober      *backend.Prober
@@ -83,15 +87,17 @@
 }
 
 // New returns a node that does not serve yet. Port 0 in an address of the settings is replaced by the port that was
-// bound. It returns a wrapped net error if an address cannot be bound.
+// bound. It returns a wrapped net error if an address cannot be bound, and tlsfiles.FileError.
 func New(s settings.Settings, log zerolog.Logger) (*Node, error) {
-	if err := checkHostID(s.HostID); err != nil {
+	loaded, err := loadCertificates(s)
+	if err != nil {
 		return nil, err
 	}
 	servers, err := bind(&s)
 	if err != nil {
 		return nil, err
 	}
+	loaded.wrap(servers)
 	self := fleet.Host{
 		ID: s.HostID, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
@@ -116,6 +122,8 @@
 		transport: transport,
 		failed:    make(chan error, 1),
 
+		drainRequest: make(chan struct{}),
+
 		health:      health,
 		healthQuery: &healthquery.Queries{Tables: t},
 		prober:      &backend.Prober{Transport: transport},
@@ -126,13 +134,14 @@
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
 	n.servers = servers
-	n.peers = &peer.Client{Transport: peer.NewTransport(nil)}
+	n.certificates = loaded
+	n.peers = &peer.Client{Transport: loaded.peerTransport()}
 	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
 	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
 	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
 	calls := n.callHandler()
-	n.handle("caller", calls)
-	n.handle("peer", n.peerMux(calls.Forwarded()))
+	n.handle("caller", n.closing(calls))
+	n.handle("peer", n.closing(n.peerMux(calls.Forwarded())))
 	n.handle("operator", n.operatorMux())
 	return n, nil
 }
@@ -185,7 +194,7 @@
 	}
 }
 
-// Run serves until the context ends, then drains. It returns the error of a listener that failed.
+// Run serves until the context ends or a drain is requested, then drains. It returns the error of a listener that failed.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var done sync.WaitGroup
@@ -199,6 +208,8 @@
 	select {
 	case <-ctx.Done():
 		err = n.drain()
+	case <-n.drainRequest:
+		err = n.drain()
 	case err = <-n.failed:
 	}
 	stop()
@@ -222,27 +233,6 @@
 	}
 }
 
-// drain marks the node as leaving, serves on for the grace period, and then waits for the requests in flight.
-func (n *Node) drain() error {
-	n.members.SetLeaving()
-	n.sendHeartbeats(context.Background(), time.Now())
-	n.Log.Info().Dur("grace-ms", n.Settings.DrainGrace.Duration).Msg("node is leaving")
-	grace := time.NewTimer(n.Settings.DrainGrace.Duration)
-	defer grace.Stop()
-	select {
-	case <-grace.C:
-	case err := <-n.failed:
-		return err
-	}
-	for _, s := range n.servers {
-		if err := s.HTTP.Shutdown(context.Background()); err != nil {
-			return eris.Wrapf(err, "shut down %s listener", s.Name)
-		}
-	}
-	n.Log.Info().Msg("node has drained")
-	return nil
-}
-
 func closeServers(servers []*server) {
 	for _, s := range servers {
 		_ = s.HTTP.Close()
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/pprof"
 
+	"egretline.example/egretline/service/operatorcmd"
 	"egretline.example/egretline/service/operatorquery"
 )
 
@@ -11,6 +12,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.ready)
+	mux.Handle("POST /operator/drain", &operatorcmd.Drain{Node: n})
 	state := &operatorquery.State{Configuration: n.Config, Members: n.Members, Health: n.healthQuery}
 	state.Register(mux)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
--- a/service/node/peers.go
+++ b/service/node/peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"egretline.example/egretline/pkg/decide/member"
-	"egretline.example/egretline/pkg/decide/once"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/pkg/healthquery"
@@ -125,11 +124,3 @@
 	}
 	r.health.ApplyReport(now, report)
 }
-
-// checkHostID refuses a host ID that cannot be part of an idempotency key.
-func checkHostID(id string) error {
-	if !once.ValidHost(id) {
-		return HostIDError{HostID: id}
-	}
-	return nil
-}
--- /dev/null
+++ b/service/operatorcmd/operatorcmd.go
@@ -0,0 +1,2 @@
+// Package operatorcmd serves the requests of operators that change state.
+package operatorcmd
