Let tests of the assembled node choose the group size

Cause: two test files assumed different group sizes, and a wait without end held the run until the timeout of go test.

--- a/service/node/fleet_test.go
+++ b/service/node/fleet_test.go
@@ -36,6 +36,8 @@
 	Hosts    *hostservice.Service
 	Backends map[string]*backendservice.Server
 	Nodes    []*Node
+	// GroupSize is the group size of the service in the configuration.
+	GroupSize int
 
 	logURL  string
 	hostURL string
@@ -49,7 +51,7 @@
 	t.Helper()
 	f := &testFleet{
 		Log: logservice.New(logservice.Faults{}), Hosts: hostservice.New(api.HostList{}),
-		Backends: map[string]*backendservice.Server{},
+		Backends: map[string]*backendservice.Server{}, GroupSize: 3,
 	}
 	f.logURL = serveStandin(t, f.Log)
 	f.hostURL = serveStandin(t, f.Hosts)
@@ -124,7 +126,7 @@
 	var b strings.Builder
 	b.WriteString("[[rank]]\nname = \"bookings\"\nshare = 0.6\nslot-limit = 1.0\n")
 	b.WriteString("[[rank]]\nname = \"archives\"\nshare = 0.2\nslot-limit = 0.8\n")
-	b.WriteString("[service.rental-desk]\nregion = \"kz-central\"\nfloor = 1\ngroup-size = 3\n")
+	fmt.Fprintf(&b, "[service.rental-desk]\nregion = \"kz-central\"\nfloor = 1\ngroup-size = %d\n", f.GroupSize)
 	for address := range f.Backends {
 		fmt.Fprintf(&b, "[[service.rental-desk.backend-server]]\naddress = %q\navailability-zone = \"kz-central-0\"\nslots = 6\nconnections = 400\n", address)
 	}
--- a/service/node/peers_test.go
+++ b/service/node/peers_test.go
@@ -23,10 +23,11 @@
 func newGroupedFleet(t testing.TB) *testFleet {
 	t.Helper()
 	f := newFleet(t, 2, 0)
+	f.GroupSize = 4
 	for i := range 7 {
 		f.startNode(t, fmt.Sprintf("n%d", i), fmt.Sprintf("kz-central-%d", i%2))
 	}
-	f.apply(t, 0)
+	f.apply(t)
 	await(t, func() bool { return converged(f.Nodes) })
 	return f
 }
