--- a/pkg/configcmd/follow.go
+++ b/pkg/configcmd/follow.go
@@ -168,7 +168,7 @@
 	var known map[string]table.DecodedFile
 	var current fold.State
 	f.Config.Read(guard.Held{}, func(_ guard.Held, c *table.Config) { current, known = c.Fold, c.Decoded })
-	if !fold.Supersedes(s, current) {
+	if s.Next == current.Next {
 		return
 	}
 	// Compiling a large configuration takes milliseconds, so it is done without the lock.
--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -120,6 +120,22 @@
 		is.True(w.readers[1].Follower.Poll(context.Background(), 0) != nil)
 		is.Equal(w.readers[1].state().Next, int64(1))
 	})
+	bubble(t, "a read that comes back late does not take the configuration back", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+		fast := w.readers[1].Follower
+		slow := *fast
+		release := make(chan struct{})
+		slow.Log = slowLog{Log: fast.Log, release: release}
+		done := make(chan error)
+		go func() { done <- slow.Poll(context.Background(), 0) }()
+		synctest.Wait()
+		assertApply(t, w.readers[0], "id-2", 1, fold.Accepted)
+		is.NoErr(fast.Poll(context.Background(), 0))
+		close(release)
+		is.NoErr(<-done)
+		is.Equal(w.readers[1].state().Next, int64(2))
+	})
 	bubble(t, "a peer that is behind is ignored", true, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
@@ -130,6 +146,18 @@
 	})
 }
 
+// slowLog holds back the reply of each read until release is closed.
+type slowLog struct {
+	configcmd.Log
+	release chan struct{}
+}
+
+func (l slowLog) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) (configcmd.Batch, error) {
+	batch, err := l.Log.Read(ctx, s, from, n, wait)
+	<-l.release
+	return batch, err
+}
+
 // gapLog loses the second record of each read.
 type gapLog struct{ configcmd.Log }
 
--- a/pkg/decide/fold/fold_test.go
+++ b/pkg/decide/fold/fold_test.go
@@ -63,7 +63,11 @@
 			from := rapid.Int64Range(0, repeated.Next).Draw(r, "from")
 			to := rapid.Int64Range(repeated.Next, int64(len(records))).Draw(r, "to")
 			for i := from; i < to; i++ {
+				before := repeated.Next
 				repeated, _ = Step(repeated, i, records[i])
+				if repeated.Next < before {
+					r.Fatalf("record %d took the state back from %d", i, before)
+				}
 			}
 		}
 		if !reflect.DeepEqual(once, repeated) {
