Add the commands apply and check, and the configuration queries

Cause: operators need to put files in force, to learn the outcome for certain, and to check files offline.

--- /dev/null
+++ b/pkg/configfile/checkall.go
@@ -0,0 +1,65 @@
+package configfile
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// Source is the text of one configuration file.
+type Source struct {
+	Name     string
+	Contents []byte
+}
+
+// CheckAll returns what is wrong with the files one by one or, if each passes, between them.
+func CheckAll(sources []Source) []fleet.Problem {
+	var problems []fleet.Problem
+	files := make([]fleet.File, 0, len(sources))
+	contents := map[string][]byte{}
+	for _, s := range sources {
+		if _, twice := contents[s.Name]; twice {
+			problems = append(problems, fleet.Problem{
+				File: s.Name, Message: "two files have this name", Remedy: "rename one of them",
+			})
+		}
+		contents[s.Name] = s.Contents
+		f, err := Decode(s.Name, s.Contents)
+		var refused RefusedError
+		if errors.As(err, &refused) {
+			problems = append(problems, refused.Problems()...)
+		}
+		files = append(files, f)
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	problems = Merge(files).Problems
+	for i, p := range problems {
+		problems[i].Line = definitionLine(contents[p.File], p.Key)
+	}
+	return problems
+}
+
+// definitionLine returns the line where the thing of a key such as route.checkout is defined, or 0.
+func definitionLine(contents []byte, key string) int {
+	var d document
+	if err := toml.Unmarshal(contents, &d); err != nil || key == "" {
+		return 0
+	}
+	kind, name, _ := strings.Cut(key, ".")
+	switch kind {
+	case "route":
+		i := slices.IndexFunc(d.Routes, func(r routeEntry) bool { return r.Name == name })
+		key = fmt.Sprintf("route[%d]", i)
+	case "rank":
+		i := slices.IndexFunc(d.Ranks, func(r rankEntry) bool { return r.Name == name })
+		key = fmt.Sprintf("rank[%d]", i)
+	}
+	return locate(contents)[key]
+}
--- a/pkg/configfile/merge.go
+++ b/pkg/configfile/merge.go
@@ -37,56 +37,57 @@
 
 type merger struct {
 	configuration *fleet.Configuration
-	// origin is the file that defines each rank, service, route and tenant, by kind and name.
+	// origin is the file that defines each rank, service, route and tenant, for example "rank bookings".
 	origin map[string]string
 }
 
 func (m *merger) definitions(f fleet.File) {
 	c := m.configuration
 	for _, r := range f.Ranks {
-		if m.first(f.Name, "rank", r.Name) {
+		if m.first(f.Name, "rank."+r.Name, "rank "+r.Name) {
 			c.Ranks = append(c.Ranks, r)
 		}
 	}
 	for _, s := range f.Services {
-		if m.first(f.Name, "service", s.Name) {
+		if m.first(f.Name, "service."+s.Name, "service "+s.Name) {
 			c.Services[s.Name] = s
 		}
 	}
 	for _, t := range f.Tenants {
-		if m.first(f.Name, "tenant", t.Name) && m.first(f.Name, "token hash of tenant", t.TokenSHA256) {
+		key := "tenant." + t.Name
+		if m.first(f.Name, key, "tenant "+t.Name) && m.first(f.Name, key, "token hash "+t.TokenSHA256) {
 			c.Tenants[t.TokenSHA256] = t
 		}
 	}
 }
 
-// first says whether the definition is the first of its kind and name, and reports it otherwise.
-func (m *merger) first(file, kind, name string) bool {
-	key := kind + " " + name
-	if origin, defined := m.origin[key]; defined {
-		m.problem(file, key, "already defined in "+origin, "remove one of the two; the one in "+origin+" is in force")
+// first says whether the definition at the key is the first of the thing, and reports it otherwise.
+func (m *merger) first(file, key, thing string) bool {
+	if origin, defined := m.origin[thing]; defined {
+		m.problem(file, key, thing+" is already defined in "+origin, "remove one of the two; the one in "+origin+" is in force")
 		return false
 	}
-	m.origin[key] = file
+	m.origin[thing] = file
 	return true
 }
 
 func (m *merger) references(f fleet.File) {
 	c := m.configuration
 	for _, r := range f.Routes {
-		if !m.first(f.Name, "route", r.Name) || !m.first(f.Name, "route for", r.Method+" "+r.PathPrefix) {
+		key := "route." + r.Name
+		if !m.first(f.Name, key, "route "+r.Name) || !m.first(f.Name, key, "route for "+r.Method+" "+r.PathPrefix) {
 			continue
 		}
 		r.Refusal = m.refusal(r)
 		if r.Refusal != "" {
-			m.problem(f.Name, "route "+r.Name, r.Refusal, "define it in a file, or change the route; until then the route refuses")
+			m.problem(f.Name, key, r.Refusal, "define it in a file, or change the route; until then the route refuses")
 		}
 		c.Routes = append(c.Routes, r)
 	}
 	for _, t := range f.Tenants {
 		for _, s := range t.Services {
 			if _, defined := c.Services[s]; !defined {
-				m.problem(f.Name, "tenant "+t.Name, fmt.Sprintf("no file defines service %q", s), "define it in a file, or remove it here")
+				m.problem(f.Name, "tenant."+t.Name, fmt.Sprintf("no file defines service %q", s), "define it in a file, or remove it here")
 			}
 		}
 	}
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -18,6 +18,8 @@
 	hostListPeriod = 2 * time.Second
 	// peerConfigPeriod is the time between two comparisons with the revisions that other nodes announce.
 	peerConfigPeriod = time.Second
+	// snapshotPeriod is the time between two checks whether a snapshot is due. It is far below the hour after which one is.
+	snapshotPeriod = 10 * time.Second
 )
 
 func (n *Node) periodic() []*job {
@@ -25,6 +27,7 @@
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
+		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
@@ -33,13 +36,15 @@
 // followConfig reads the log until the context ends, and brings the Backends table in line after each change.
 func (n *Node) followConfig(ctx context.Context) {
 	var revision int64 = -1
+	if err := n.follower.Start(ctx); err != nil && ctx.Err() == nil {
+		n.Log.Warn().Err(err).Msg("cannot start from a snapshot of the configuration; reading the whole log")
+	}
 	for ctx.Err() == nil {
 		err := n.follower.Poll(ctx, configPoll)
 		if c := n.Config.Current(); c != nil && c.Revision != revision {
 			revision = c.Revision
 			n.health.Sync(time.Now(), c)
 			n.refreshGroups(time.Now())
-			n.Log.Info().Int64("revision", revision).Msg("configuration is in force")
 		}
 		if err != nil && ctx.Err() == nil {
 			n.Log.Warn().Err(err).Msg("cannot read the configuration log; retrying")
@@ -52,6 +57,12 @@
 	n.follower.CheckPeers(ctx, time.Now())
 }
 
+func (n *Node) checkSnapshot(ctx context.Context) {
+	if err := n.snapshotter.Check(ctx, time.Now()); err != nil && ctx.Err() == nil {
+		n.Log.Warn().Err(err).Msg("cannot append a snapshot of the configuration; retrying")
+	}
+}
+
 func (n *Node) hostListJob() func(ctx context.Context) {
 	var previous hostlist.List
 	return func(ctx context.Context) {
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -17,6 +17,7 @@
 
 	"egretline.example/egretline/pkg/configcmd"
 	"egretline.example/egretline/pkg/configquery"
+	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
@@ -54,13 +55,15 @@
 	Dispatcher *dispatchcmd.Dispatcher
 	Log        zerolog.Logger
 
-	follower  *configcmd.Follower
-	members   *membercmd.Commands
-	hosts     *hostlist.Client
-	transport *http.Transport
-	jobs      *scheduler
-	servers   []*server
-	failed    chan error
+	follower *configcmd.Follower
+	// snapshotter writes the configuration to the log while this node is the chosen one.
+	snapshotter *configcmd.Snapshotter
+	members     *membercmd.Commands
+	hosts       *hostlist.Client
+	transport   *http.Transport
+	jobs        *scheduler
+	servers     []*server
+	failed      chan error
 
 	peers     *peer.Client
 	forwarder *peer.Forwarder
@@ -127,6 +130,7 @@
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
 	n.servers = servers
 	n.peers = &peer.Client{Transport: peer.NewTransport(nil)}
+	n.snapshotter = configcmd.NewSnapshotter(n.follower, n.Members, fold.SnapshotPolicy{}, log)
 	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
 	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
 	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
--- /dev/null
+++ b/service/operator/errors.go
@@ -0,0 +1,34 @@
+package operator
+
+import "fmt"
+
+// UnreachableError reports a node to which no request was sent.
+type UnreachableError struct {
+	Node  string
+	Cause error
+}
+
+func (e UnreachableError) Error() string {
+	return fmt.Sprintf("cannot reach node %s: %v", e.Node, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e UnreachableError) Unwrap() error { return e.Cause }
+
+// ReplyError reports a node that got a request and gave no usable reply.
+type ReplyError struct {
+	Node string
+	// Status is the HTTP status of the reply, or 0 if there was none.
+	Status int
+	Cause  error
+}
+
+func (e ReplyError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("node %s gave no usable reply (status %d)", e.Node, e.Status)
+	}
+	return fmt.Sprintf("node %s gave no usable reply (status %d): %v", e.Node, e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e ReplyError) Unwrap() error { return e.Cause }
