--- a/cmd/egretline/cmds/query/show.go
+++ b/cmd/egretline/cmds/query/show.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/subcommands"
 
+	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/service/api"
 )
 
@@ -25,8 +26,8 @@
 func (*show) Synopsis() string { return "show the state of a node" }
 
 func (*show) Usage() string {
-	return `show [--node URL] [--output text|json] [--service NAME] services|backend-servers|peers:
-  Show the services, the backend servers with the reason why each is in use
+	return `show [--node URL] [--output text|json] [--service NAME] config|services|backend-servers|peers:
+  Show the configuration files, the services, the backend servers with the reason why each is in use
   or not, or the other hosts, as one node sees them.
   Exit codes: 0 shown, 2 usage, 6 node unreachable.
 `
@@ -45,6 +46,7 @@
 	}
 	path := "/operator/" + f.Arg(0)
 	print, known := map[string]func(io.Writer, []byte) error{
+		"config":          printConfig,
 		"services":        printServices,
 		"backend-servers": printBackendServers,
 		"peers":           printPeers,
@@ -76,6 +78,26 @@
 	return err
 }
 
+func printConfig(w io.Writer, body []byte) error {
+	var m api.Config
+	if err := json.Unmarshal(body, &m); err != nil {
+		return err
+	}
+	if !m.Configured {
+		_, err := fmt.Fprintln(w, "The node has no configuration and is not ready.")
+		return err
+	}
+	err := table(w, "FILE\tREVISION\tBYTES", func(t io.Writer) {
+		for _, f := range m.Files {
+			fmt.Fprintf(t, "%s\t%d\t%d\n", f.Name, f.Revision, f.Bytes)
+		}
+	})
+	for _, p := range m.Problems {
+		fmt.Fprintln(w, fleet.Problem(p))
+	}
+	return err
+}
+
 func printServices(w io.Writer, body []byte) error {
 	var m api.Services
 	if err := json.Unmarshal(body, &m); err != nil {
--- a/pkg/configcmd/apply.go
+++ b/pkg/configcmd/apply.go
@@ -82,13 +82,12 @@
 		if f.state().Next > offset {
 			return fold.Decision{}, UnknownOutcomeError{ApplyID: a.ID, Cause: ForgottenError{Offset: offset}}
 		}
-		err := f.Poll(ctx, longPoll)
+		err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return f.unknown(a, eris.Wrap(context.Cause(ctx), "read the record back"))
 		}
 		if err != nil {
 			f.Logger.Warn().Err(err).Str("apply-id", a.ID).Msg("cannot read the record back; retrying")
-			pause(ctx, retryDelay)
 		}
 	}
 }
--- a/pkg/configcmd/follow.go
+++ b/pkg/configcmd/follow.go
@@ -30,9 +30,17 @@
 type Follower struct {
 	Log Log
 	// Peers may be nil.
-	Peers  Peers
-	Config *guard.Guard[table.Config]
-	Logger zerolog.Logger
+	Peers Peers
+	// Observer may be nil.
+	Observer Observer
+	Config   *guard.Guard[table.Config]
+	Logger   zerolog.Logger
+}
+
+// Observer learns of changes of the configuration in force.
+type Observer interface {
+	// ConfigurationChanged is called after each change, and may be called concurrently.
+	ConfigurationChanged()
 }
 
 // New returns a follower with its dependencies. peers may be nil.
@@ -47,13 +55,23 @@
 		f.Logger.Warn().Err(err).Msg("cannot start from a snapshot of the configuration; reading the whole log")
 	}
 	for ctx.Err() == nil {
-		if err := f.Poll(ctx, longPoll); err != nil && ctx.Err() == nil {
+		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
 			f.Logger.Warn().Err(err).Msg("cannot read the configuration log; keeping the configuration and retrying")
-			pause(ctx, retryDelay)
 		}
 	}
 }
 
+// follow polls once. It pauses after a failure, and after a reply that came at once and brought nothing, so that a log
+// that does not hold its long polls is not asked without end.
+func (f *Follower) follow(ctx context.Context) error {
+	before, started := f.state().Next, time.Now()
+	err := f.Poll(ctx, longPoll)
+	if err != nil || f.state().Next == before && time.Since(started) < retryDelay {
+		pause(ctx, retryDelay)
+	}
+	return err
+}
+
 // Start adopts the newest snapshot, which saves a new node from reading all retained records.
 func (f *Follower) Start(ctx context.Context) error {
 	_, err := f.joinSnapshot(ctx, 0)
@@ -87,13 +105,12 @@
 // rejoin continues from a snapshot or a peer that covers all records before the offset first.
 func (f *Follower) rejoin(ctx context.Context, first int64) error {
 	joined, err := f.joinSnapshot(ctx, first)
-	if joined {
-		return nil
-	}
 	if err != nil {
 		f.Logger.Warn().Err(err).Msg("cannot read snapshots of the configuration; asking peers")
 	}
-	f.fetch(ctx)
+	if !joined {
+		f.fetch(ctx)
+	}
 	if s := f.state(); !fold.Joins(s, first) {
 		return CannotJoinError{Next: s.Next, First: first}
 	}
@@ -185,6 +202,9 @@
 	})
 	if adopted && s.Revision > current.Revision {
 		f.report(s, compiled.Problems)
+		if f.Observer != nil {
+			f.Observer.ConfigurationChanged()
+		}
 	}
 }
 
--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -136,6 +136,15 @@
 		is.NoErr(<-done)
 		is.Equal(w.readers[1].state().Next, int64(2))
 	})
+	bubble(t, "a log that does not hold long polls is not asked without end", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		log := &hastyLog{Log: newClient(w.service)}
+		w.readers[0].Follower.Log = log
+		w.readers[0].Follower.Run(ctx)
+		is.True(log.reads <= 11) // at most one read a second
+	})
 	bubble(t, "a peer that is behind is ignored", true, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
@@ -158,6 +167,17 @@
 	return batch, err
 }
 
+// hastyLog responds to reads at once and counts them.
+type hastyLog struct {
+	configcmd.Log
+	reads int
+}
+
+func (l *hastyLog) Read(ctx context.Context, s string, from int64, n int, _ time.Duration) (configcmd.Batch, error) {
+	l.reads++
+	return l.Log.Read(ctx, s, from, n, 0)
+}
+
 // gapLog loses the second record of each read.
 type gapLog struct{ configcmd.Log }
 
--- a/pkg/configfile/build.go
+++ b/pkg/configfile/build.go
@@ -12,7 +12,13 @@
 const DefaultTimeout = 10 * time.Second
 
 func build(name string, d document) fleet.File {
-	f := fleet.File{Name: name}
+	f := fleet.File{
+		Name:     name,
+		Ranks:    make([]fleet.Rank, 0, len(d.Ranks)),
+		Services: make([]fleet.Service, 0, len(d.Services)),
+		Routes:   make([]fleet.Route, 0, len(d.Routes)),
+		Tenants:  make([]fleet.Tenant, 0, len(d.Tenants)),
+	}
 	for _, r := range d.Ranks {
 		f.Ranks = append(f.Ranks, rank(r))
 	}
@@ -44,6 +50,8 @@
 		GroupSize:  s.GroupSize,
 		Preference: fleet.Preference(s.Preference),
 		ColdStart:  duration(s.ColdStart),
+		// The size is known, so that no memory stays unused at thousands of backend servers.
+		BackendServers: make([]fleet.BackendServer, 0, len(s.BackendServers)),
 	}
 	if built.Preference == "" {
 		built.Preference = fleet.Balanced
--- a/pkg/configfile/merge.go
+++ b/pkg/configfile/merge.go
@@ -12,9 +12,15 @@
 // two files define the same name, the definition in the file whose name sorts first is used. A route whose service or
 // rank no file defines stays in place with a Refusal, so that its requests do not fall through to a less specific route.
 func Merge(files []fleet.File) *fleet.Configuration {
+	tenants := 0
+	for _, f := range files {
+		tenants += len(f.Tenants)
+	}
 	m := merger{
-		configuration: &fleet.Configuration{Services: map[string]fleet.Service{}, Tenants: map[string]fleet.Tenant{}},
-		origin:        map[string]string{},
+		configuration: &fleet.Configuration{
+			Services: map[string]fleet.Service{}, Tenants: make(map[string]fleet.Tenant, tenants),
+		},
+		origin: make(map[definition]string, 2*tenants),
 	}
 	sorted := slices.SortedFunc(slices.Values(files), func(a, b fleet.File) int { return cmp.Compare(a.Name, b.Name) })
 	for _, f := range sorted {
@@ -37,50 +43,60 @@
 
 type merger struct {
 	configuration *fleet.Configuration
-	// origin is the file that defines each rank, service, route and tenant, for example "rank bookings".
-	origin map[string]string
+	// origin is the file that defines each thing.
+	origin map[definition]string
+}
+
+// definition is what only one file may define, such as the rank bookings.
+type definition struct {
+	Kind string
+	Name string
 }
 
 func (m *merger) definitions(f fleet.File) {
 	c := m.configuration
 	for _, r := range f.Ranks {
-		if m.first(f.Name, "rank."+r.Name, "rank "+r.Name) {
+		if m.first(f.Name, "rank", r.Name) {
 			c.Ranks = append(c.Ranks, r)
 		}
 	}
 	for _, s := range f.Services {
-		if m.first(f.Name, "service."+s.Name, "service "+s.Name) {
+		if m.first(f.Name, "service", s.Name) {
 			c.Services[s.Name] = s
 		}
 	}
 	for _, t := range f.Tenants {
-		key := "tenant." + t.Name
-		if m.first(f.Name, key, "tenant "+t.Name) && m.first(f.Name, key, "token hash "+t.TokenSHA256) {
+		if m.first(f.Name, "tenant", t.Name) && m.unique(f.Name, "tenant", t.Name, definition{"token hash", t.TokenSHA256}) {
 			c.Tenants[t.TokenSHA256] = t
 		}
 	}
 }
 
-// first says whether the definition at the key is the first of the thing, and reports it otherwise.
-func (m *merger) first(file, key, thing string) bool {
-	if origin, defined := m.origin[thing]; defined {
-		m.problem(file, key, thing+" is already defined in "+origin, "remove one of the two; the one in "+origin+" is in force")
+// first says whether the definition is the first with its name, and reports it otherwise.
+func (m *merger) first(file, kind, name string) bool {
+	return m.unique(file, kind, name, definition{kind, name})
+}
+
+// unique says whether what the named entry defines is not defined yet, and reports it otherwise.
+func (m *merger) unique(file, kind, name string, d definition) bool {
+	if origin, defined := m.origin[d]; defined {
+		message := d.Kind + " " + d.Name + " is already defined in " + origin
+		m.problem(file, kind+"."+name, message, "remove one of the two; the one in "+origin+" is in force")
 		return false
 	}
-	m.origin[thing] = file
+	m.origin[d] = file
 	return true
 }
 
 func (m *merger) references(f fleet.File) {
 	c := m.configuration
 	for _, r := range f.Routes {
-		key := "route." + r.Name
-		if !m.first(f.Name, key, "route "+r.Name) || !m.first(f.Name, key, "route for "+r.Method+" "+r.PathPrefix) {
+		if !m.first(f.Name, "route", r.Name) || !m.unique(f.Name, "route", r.Name, definition{"route for", r.Method + " " + r.PathPrefix}) {
 			continue
 		}
 		r.Refusal = m.refusal(r)
 		if r.Refusal != "" {
-			m.problem(f.Name, key, r.Refusal, "define it in a file, or change the route; until then the route refuses")
+			m.problem(f.Name, "route."+r.Name, r.Refusal, "define it in a file, or change the route; until then the route refuses")
 		}
 		c.Routes = append(c.Routes, r)
 	}
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/member"
@@ -10,10 +11,6 @@
 )
 
 const (
-	// configPoll is how long one read of the log waits for a record.
-	configPoll = 4 * time.Second
-	// configRetry is the wait after a failed read of the log.
-	configRetry = time.Second
 	// hostListPeriod is the time between two fetches of the host list. Heartbeats report changes sooner.
 	hostListPeriod = 2 * time.Second
 	// peerConfigPeriod is the time between two comparisons with the revisions that other nodes announce.
@@ -33,23 +30,24 @@
 	}
 }
 
-// followConfig reads the log until the context ends, and brings the Backends table in line after each change.
-func (n *Node) followConfig(ctx context.Context) {
-	var revision int64 = -1
-	if err := n.follower.Start(ctx); err != nil && ctx.Err() == nil {
-		n.Log.Warn().Err(err).Msg("cannot start from a snapshot of the configuration; reading the whole log")
-	}
-	for ctx.Err() == nil {
-		err := n.follower.Poll(ctx, configPoll)
-		if c := n.Config.Current(); c != nil && c.Revision != revision {
-			revision = c.Revision
-			n.health.Sync(time.Now(), c)
-			n.refreshGroups(time.Now())
-		}
-		if err != nil && ctx.Err() == nil {
-			n.Log.Warn().Err(err).Msg("cannot read the configuration log; retrying")
-			wait(ctx, configRetry)
+// configObserver brings the other tables in line with a configuration that came into force.
+type configObserver struct {
+	node *Node
+	// revision is that of the configuration that was handled last.
+	revision atomic.Int64
+}
+
+// ConfigurationChanged implements configcmd.Observer. The log and a peer may deliver two revisions at the same time. The
+// one that finishes last finds the revision of the other and handles the newer one again.
+func (o *configObserver) ConfigurationChanged() {
+	for {
+		c := o.node.Config.Current()
+		if c == nil || c.Revision == o.revision.Load() {
+			return
 		}
+		o.node.health.Sync(time.Now(), c)
+		o.node.refreshGroups(time.Now())
+		o.revision.Store(c.Revision)
 	}
 }
 
@@ -79,12 +77,3 @@
 		n.health.AdoptHostList(time.Now(), list.BackendServersLeaving)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -131,6 +131,7 @@
 	n.servers = servers
 	n.peers = &peer.Client{Transport: peer.NewTransport(nil)}
 	n.snapshotter = configcmd.NewSnapshotter(n.follower, n.Members, fold.SnapshotPolicy{}, log)
+	n.follower.Observer = &configObserver{node: n}
 	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
 	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
 	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
@@ -193,7 +194,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var done sync.WaitGroup
-	done.Go(func() { n.followConfig(background) })
+	done.Go(func() { n.follower.Run(background) })
 	done.Go(func() { n.jobs.run(background) })
 	for _, s := range n.servers {
 		go n.serve(s)
