--- a/cmd/egretline/cmds/command/apply_test.go
+++ b/cmd/egretline/cmds/command/apply_test.go
@@ -79,8 +79,9 @@
 	t.Run("unknown, then resolved by the command that is printed", func(t *testing.T) {
 		n := newOperatorNode(t, 1)
 		out := assertApply(t, n, validFile, exitApplyUnknown, "--base 0 --apply-id ")
-		printed := strings.Fields(out[strings.Index(out, "--base"):])
-		assertApply(t, n, validFile, subcommands.ExitSuccess, "accepted: a.toml is at revision 1", printed...)
+		_, printed, _ := strings.Cut(out, "--base")
+		assertApply(t, n, validFile, subcommands.ExitSuccess, "accepted: a.toml is at revision 1",
+			strings.Fields("--base"+printed)...)
 		is.New(t).Equal(n.log.Next(configcmd.ApplyStream), int64(1))
 	})
 	t.Run("an apply ID that was used for other contents", func(t *testing.T) {
