--- a/pkg/configcmd/apply.go
+++ b/pkg/configcmd/apply.go
@@ -18,8 +18,6 @@
 	// firstAppendDelay is the wait before the second attempt to append; it doubles up to maxAppendDelay.
 	firstAppendDelay = 500 * time.Millisecond
 	maxAppendDelay   = 4 * time.Second
-	// maxApplyID is the longest apply ID. It bounds the memory of the remembered decisions.
-	maxApplyID = 64
 )
 
 // Apply checks the file, appends it to the log and returns the verdict once its record was read back. Attempts to append
@@ -64,7 +62,7 @@
 }
 
 func checkRequest(base int64, applyID string) error {
-	if applyID == "" || len(applyID) > maxApplyID {
+	if applyID == "" || len(applyID) > fold.MaxID {
 		return RequestError{Field: "apply-id", Remedy: "write an ID of 1 to 64 characters"}
 	}
 	if base < 0 {
--- a/pkg/configcmd/follow.go
+++ b/pkg/configcmd/follow.go
@@ -22,6 +22,8 @@
 	longPoll = 4 * time.Second
 	// retryDelay is the wait after a failed read.
 	retryDelay = time.Second
+	// reportEvery is the number of failed reads in a row for each log line. An outage of the log may last for hours.
+	reportEvery = 60
 	// maxSnapshotReads bounds the walk back through the snapshots, each of which may be several MB.
 	maxSnapshotReads = 16
 )
@@ -54,10 +56,18 @@
 	if err := f.Start(ctx); err != nil {
 		f.Logger.Warn().Err(err).Msg("cannot start from a snapshot of the configuration; reading the whole log")
 	}
+	failures := 0
 	for ctx.Err() == nil {
-		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
-			f.Logger.Warn().Err(err).Msg("cannot read the configuration log; keeping the configuration and retrying")
+		err := f.follow(ctx)
+		if err == nil {
+			failures = 0
+			continue
 		}
+		if failures%reportEvery == 0 && ctx.Err() == nil {
+			f.Logger.Warn().Err(err).Int("failures", failures+1).
+				Msg("cannot read the configuration log; keeping the configuration and retrying")
+		}
+		failures++
 	}
 }
 
--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -145,6 +145,20 @@
 		w.readers[0].Follower.Run(ctx)
 		is.True(log.reads <= 11) // at most one read a second
 	})
+	bubble(t, "the observer learns of each change of the configuration, and of nothing else", false,
+		func(t *testing.T, w *world) {
+			is := is.New(t)
+			seen := &observer{reader: w.readers[1]}
+			w.readers[1].Follower.Observer = seen
+			assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+			assertApply(t, w.readers[0], "id-2", 0, fold.Conflict)
+			for range 2 {
+				is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			}
+			assertApply(t, w.readers[0], "id-3", 1, fold.Accepted)
+			is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			is.Equal(seen.revisions, []int64{1, 3})
+		})
 	bubble(t, "a peer that is behind is ignored", true, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
@@ -167,6 +181,16 @@
 	return batch, err
 }
 
+// observer records the revisions that are in force when it is called.
+type observer struct {
+	reader    *reader
+	revisions []int64
+}
+
+func (o *observer) ConfigurationChanged() {
+	o.revisions = append(o.revisions, o.reader.Query.Current().Revision)
+}
+
 // hastyLog responds to reads at once and counts them.
 type hastyLog struct {
 	configcmd.Log
--- a/pkg/configrecord/record.go
+++ b/pkg/configrecord/record.go
@@ -41,10 +41,10 @@
 		return fold.Apply{}, MalformedError{Kind: "apply", Reason: err.Error()}
 	}
 	switch {
-	case a.ID == "":
-		return fold.Apply{}, MalformedError{Kind: "apply", Reason: "apply-id is missing"}
-	case a.File == "":
-		return fold.Apply{}, MalformedError{Kind: "apply", Reason: "file is missing"}
+	case a.ID == "" || len(a.ID) > fold.MaxID:
+		return fold.Apply{}, MalformedError{Kind: "apply", Reason: "apply-id is missing or too long"}
+	case a.File == "" || len(a.File) > fold.MaxFileName:
+		return fold.Apply{}, MalformedError{Kind: "apply", Reason: "file is missing or its name is too long"}
 	case a.Base < 0:
 		return fold.Apply{}, MalformedError{Kind: "apply", Reason: "base is negative"}
 	}
--- a/pkg/configrecord/record_test.go
+++ b/pkg/configrecord/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,6 +48,10 @@
 		_, err := DecodeApply([]byte(`{"file":"a"}`))
 		assertMalformed(t, err)
 	})
+	t.Run("apply with an ID that is too long to remember", func(t *testing.T) {
+		_, err := DecodeApply(EncodeApply(fold.Apply{ID: strings.Repeat("x", fold.MaxID+1), File: "a"}))
+		assertMalformed(t, err)
+	})
 	t.Run("apply with a negative base", func(t *testing.T) {
 		_, err := DecodeApply([]byte(`{"apply-id":"i","file":"a","base":-1}`))
 		assertMalformed(t, err)
--- a/pkg/decide/fold/fold.go
+++ b/pkg/decide/fold/fold.go
@@ -14,6 +14,12 @@
 // revision that its first acceptance gave the file.
 const MaxDecisions = 1024
 
+// Longest apply ID and file name in bytes. They bound the memory of the decisions.
+const (
+	MaxID       = 64
+	MaxFileName = 105
+)
+
 // Apply is a request of an operator to replace one configuration file.
 type Apply struct {
 	// ID is random and chosen by the operator's client, so that a lost reply can be resolved by reading the log back.
--- a/service/operator/client.go
+++ b/service/operator/client.go
@@ -60,6 +60,9 @@
 	if err == nil && status != http.StatusOK {
 		err = ReplyError{Node: c.base, Status: status}
 	}
+	if errors.As(err, &UnreachableError{}) {
+		return 0, err
+	}
 	if err != nil {
 		return 0, UnreachableError{Node: c.base, Cause: err}
 	}
