--- a/pkg/configcmd/apply.go
+++ b/pkg/configcmd/apply.go
@@ -18,8 +18,6 @@
 	// firstAppendDelay is the wait before the second attempt to append; it doubles up to maxAppendDelay.
 	firstAppendDelay = 500 * time.Millisecond
 	maxAppendDelay   = 4 * time.Second
-	// maxApplyID is the longest apply ID. It bounds the memory of the remembered decisions.
-	maxApplyID = 64
 )
 
 // Apply checks the file, appends it to the log and returns the verdict once its record was read back. Attempts to append
@@ -64,7 +62,7 @@
 }
 
 func checkRequest(base int64, applyID string) error {
-	if applyID == "" || len(applyID) > maxApplyID {
+	if applyID == "" || len(applyID) > fold.MaxID {
 		return RequestError{Field: "apply-id", Remedy: "write an ID of 1 to 64 characters"}
 	}
 	if base < 0 {
@@ -82,13 +80,12 @@
 		if f.state().Next > offset {
 			return fold.Decision{}, UnknownOutcomeError{ApplyID: a.ID, Cause: ForgottenError{Offset: offset}}
 		}
-		err := f.Poll(ctx, longPoll)
+		err := f.follow(ctx)
 		if ctx.Err() != nil {
 			return f.unknown(a, eris.Wrap(context.Cause(ctx), "read the record back"))
 		}
 		if err != nil {
 			f.Logger.Warn().Err(err).Str("apply-id", a.ID).Msg("cannot read the record back; retrying")
-			pause(ctx, retryDelay)
 		}
 	}
 }
--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -120,6 +120,45 @@
 		is.True(w.readers[1].Follower.Poll(context.Background(), 0) != nil)
 		is.Equal(w.readers[1].state().Next, int64(1))
 	})
+	bubble(t, "a read that comes back late does not take the configuration back", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+		fast := w.readers[1].Follower
+		slow := *fast
+		release := make(chan struct{})
+		slow.Log = slowLog{Log: fast.Log, release: release}
+		done := make(chan error)
+		go func() { done <- slow.Poll(context.Background(), 0) }()
+		synctest.Wait()
+		assertApply(t, w.readers[0], "id-2", 1, fold.Accepted)
+		is.NoErr(fast.Poll(context.Background(), 0))
+		close(release)
+		is.NoErr(<-done)
+		is.Equal(w.readers[1].state().Next, int64(2))
+	})
+	bubble(t, "a log that does not hold long polls is not asked without end", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		log := &hastyLog{Log: newClient(w.service)}
+		w.readers[0].Follower.Log = log
+		w.readers[0].Follower.Run(ctx)
+		is.True(log.reads <= 11) // at most one read a second
+	})
+	bubble(t, "the observer learns of each change of the configuration, and of nothing else", false,
+		func(t *testing.T, w *world) {
+			is := is.New(t)
+			seen := &observer{reader: w.readers[1]}
+			w.readers[1].Follower.Observer = seen
+			assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+			assertApply(t, w.readers[0], "id-2", 0, fold.Conflict)
+			for range 2 {
+				is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			}
+			assertApply(t, w.readers[0], "id-3", 1, fold.Accepted)
+			is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			is.Equal(seen.revisions, []int64{1, 3})
+		})
 	bubble(t, "a peer that is behind is ignored", true, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
@@ -130,6 +169,39 @@
 	})
 }
 
+// slowLog holds back the reply of each read until release is closed.
+type slowLog struct {
+	configcmd.Log
+	release chan struct{}
+}
+
+func (l slowLog) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) (configcmd.Batch, error) {
+	batch, err := l.Log.Read(ctx, s, from, n, wait)
+	<-l.release
+	return batch, err
+}
+
+// observer records the revisions that are in force when it is called.
+type observer struct {
+	reader    *reader
+	revisions []int64
+}
+
+func (o *observer) ConfigurationChanged() {
+	o.revisions = append(o.revisions, o.reader.Query.Current().Revision)
+}
+
+// hastyLog responds to reads at once and counts them.
+type hastyLog struct {
+	configcmd.Log
+	reads int
+}
+
+func (l *hastyLog) Read(ctx context.Context, s string, from int64, n int, _ time.Duration) (configcmd.Batch, error) {
+	l.reads++
+	return l.Log.Read(ctx, s, from, n, 0)
+}
+
 // gapLog loses the second record of each read.
 type gapLog struct{ configcmd.Log }
 
--- a/pkg/configfile/merge.go
+++ b/pkg/configfile/merge.go
@@ -12,9 +12,15 @@
 // two files define the same name, the definition in the file whose name sorts first is used. A route whose service or
 // rank no file defines stays in place with a Refusal, so that its requests do not fall through to a less specific route.
 func Merge(files []fleet.File) *fleet.Configuration {
+	tenants := 0
+	for _, f := range files {
+		tenants += len(f.Tenants)
+	}
 	m := merger{
-		configuration: &fleet.Configuration{Services: map[string]fleet.Service{}, Tenants: map[string]fleet.Tenant{}},
-		origin:        map[string]string{},
+		configuration: &fleet.Configuration{
+			Services: map[string]fleet.Service{}, Tenants: make(map[string]fleet.Tenant, tenants),
+		},
+		origin: make(map[definition]string, 2*tenants),
 	}
 	sorted := slices.SortedFunc(slices.Values(files), func(a, b fleet.File) int { return cmp.Compare(a.Name, b.Name) })
 	for _, f := range sorted {
@@ -37,8 +43,14 @@
 
 type merger struct {
 	configuration *fleet.Configuration
-	// origin is the file that defines each rank, service, route and tenant, by kind and name.
-	origin map[string]string
+	// origin is the file that defines each thing.
+	origin map[definition]string
+}
+
+// definition is what only one file may define, such as the rank bookings.
+type definition struct {
+	Kind string
+	Name string
 }
 
 func (m *merger) definitions(f fleet.File) {
@@ -54,39 +66,44 @@
 		}
 	}
 	for _, t := range f.Tenants {
-		if m.first(f.Name, "tenant", t.Name) && m.first(f.Name, "token hash of tenant", t.TokenSHA256) {
+		if m.first(f.Name, "tenant", t.Name) && m.unique(f.Name, "tenant", t.Name, definition{"token hash", t.TokenSHA256}) {
 			c.Tenants[t.TokenSHA256] = t
 		}
 	}
 }
 
-// first says whether the definition is the first of its kind and name, and reports it otherwise.
+// first says whether the definition is the first with its name, and reports it otherwise.
 func (m *merger) first(file, kind, name string) bool {
-	key := kind + " " + name
-	if origin, defined := m.origin[key]; defined {
-		m.problem(file, key, "already defined in "+origin, "remove one of the two; the one in "+origin+" is in force")
+	return m.unique(file, kind, name, definition{kind, name})
+}
+
+// unique says whether what the named entry defines is not defined yet, and reports it otherwise.
+func (m *merger) unique(file, kind, name string, d definition) bool {
+	if origin, defined := m.origin[d]; defined {
+		message := d.Kind + " " + d.Name + " is already defined in " + origin
+		m.problem(file, kind+"."+name, message, "remove one of the two; the one in "+origin+" is in force")
 		return false
 	}
-	m.origin[key] = file
+	m.origin[d] = file
 	return true
 }
 
 func (m *merger) references(f fleet.File) {
 	c := m.configuration
 	for _, r := range f.Routes {
-		if !m.first(f.Name, "route", r.Name) || !m.first(f.Name, "route for", r.Method+" "+r.PathPrefix) {
+		if !m.first(f.Name, "route", r.Name) || !m.unique(f.Name, "route", r.Name, definition{"route for", r.Method + " " + r.PathPrefix}) {
 			continue
 		}
 		r.Refusal = m.refusal(r)
 		if r.Refusal != "" {
-			m.problem(f.Name, "route "+r.Name, r.Refusal, "define it in a file, or change the route; until then the route refuses")
+			m.problem(f.Name, "route."+r.Name, r.Refusal, "define it in a file, or change the route; until then the route refuses")
 		}
 		c.Routes = append(c.Routes, r)
 	}
 	for _, t := range f.Tenants {
 		for _, s := range t.Services {
 			if _, defined := c.Services[s]; !defined {
-				m.problem(f.Name, "tenant "+t.Name, fmt.Sprintf("no file defines service %q", s), "define it in a file, or remove it here")
+				m.problem(f.Name, "tenant."+t.Name, fmt.Sprintf("no file defines service %q", s), "define it in a file, or remove it here")
 			}
 		}
 	}
