Add a TCP relay that cuts one direction, both, or delays

Cause: one-way partitions need a link that loses one direction while both programs run. Change: pkg/standin/relay with an HTTP control interface and the subcommand egretline-standin relay.

--- a/cmd/egretline-standin/cmds/cmds.go
+++ b/cmd/egretline-standin/cmds/cmds.go
@@ -30,6 +30,7 @@
 	return []subcommands.Command{
 		&hosts{},
 		&backends{},
+		&relayCommand{},
 		&logService{},
 	}
 }
