Count traffic by class and tenant behind GET /metrics

Cause: a reservoir of 1,028 values for each of 37,000 tenants would take about 300 MB of the 32 MB that a node has for control. Change: the Traffic table holds a go-metrics histogram for each class and a small fixed histogram for each tenant, both bounded; the caller edge records each finished request; GET /metrics on the operator address. Heavy hitters are refused in docs/decisions/005-metrics.md.

--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -30,6 +30,7 @@
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
 	Keys     *guard.Guard[Keys]
+	Traffic  *guard.Guard[Traffic]
 }
 
 // New returns empty tables for the node on the given host.
@@ -40,6 +41,7 @@
 		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
 		Keys:     guard.New(RankKeys, newKeys()),
+		Traffic:  guard.New(RankTraffic, newTraffic()),
 	}
 }
 
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -22,6 +22,7 @@
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/trafficcmd"
 	"egretline.example/egretline/service/api"
 	"egretline.example/egretline/service/backend"
 )
@@ -41,6 +42,11 @@
 	Cancel(t *table.Ticket) bool
 }
 
+// Traffic counts finished requests.
+type Traffic interface {
+	Record(o trafficcmd.Observation)
+}
+
 // Handler serves the requests of callers.
 type Handler struct {
 	Routes     Routes
@@ -50,6 +56,8 @@
 	Groups     Groups
 	Forwarder  Forwarder
 	Transport  http.RoundTripper
+	// Traffic may be nil, and then nothing is counted.
+	Traffic Traffic
 	// EntryTTL is how long callers may keep an entry response.
 	EntryTTL time.Duration
 	Log      zerolog.Logger
@@ -204,6 +212,7 @@
 // could not be completed, so that the caller cannot take it for whole.
 func (h *Handler) finish(w http.ResponseWriter, q request, result table.Result) {
 	h.logResult(q, result)
+	h.count(q, result)
 	if result.Aborted {
 		panic(http.ErrAbortHandler)
 	}
@@ -260,6 +269,19 @@
 	}
 }
 
+// count leaves out the requests without a tenant, which anyone could send to fill the metrics.
+func (h *Handler) count(q request, result table.Result) {
+	if h.Traffic == nil || q.Tenant.Name == "" {
+		return
+	}
+	h.Traffic.Record(trafficcmd.Observation{
+		Class:   table.TrafficClass{Service: q.Route.Service, Rank: q.Route.Rank},
+		Tenant:  q.Tenant.Name,
+		Outcome: result.Outcome,
+		Latency: time.Since(q.Arrived),
+	})
+}
+
 func (h *Handler) logResult(q request, result table.Result) {
 	event := h.Log.Info()
 	if result.Err != nil {
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -29,6 +29,7 @@
 	"egretline.example/egretline/pkg/settings"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/pkg/trace"
+	"egretline.example/egretline/pkg/trafficcmd"
 	"egretline.example/egretline/service/backend"
 	"egretline.example/egretline/service/caller"
 	"egretline.example/egretline/service/hostlist"
@@ -181,6 +182,7 @@
 		Forwarder:  n.forwarder,
 		Transport:  n.transport,
 		EntryTTL:   n.Settings.EntryTTL.Duration,
+		Traffic:    &trafficcmd.Commands{Traffic: n.Tables.Traffic},
 		Log:        n.Log,
 	}
 }
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/pprof"
 
+	"egretline.example/egretline/pkg/trafficquery"
 	"egretline.example/egretline/service/operatorquery"
 )
 
@@ -13,6 +14,7 @@
 	mux.HandleFunc("GET /readyz", n.ready)
 	state := &operatorquery.State{Configuration: n.Config, Members: n.Members, Health: n.healthQuery}
 	state.Register(mux)
+	mux.Handle("GET /metrics", &operatorquery.Metrics{Traffic: &trafficquery.Queries{Traffic: n.Tables.Traffic}})
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
