--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -5,6 +5,7 @@
 	"net/http/pprof"
 
 	"egretline.example/egretline/service/operatorcmd"
+	"egretline.example/egretline/pkg/trafficquery"
 	"egretline.example/egretline/service/operatorquery"
 )
 
@@ -16,6 +17,7 @@
 	state.Register(mux)
 	(&operatorquery.Config{Folded: n.Config}).Register(mux)
 	(&operatorcmd.Apply{Applier: n.follower}).Register(mux)
+	mux.Handle("GET /metrics", &operatorquery.Metrics{Traffic: &trafficquery.Queries{Traffic: n.Tables.Traffic}})
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
