--- a/pkg/decide/detect/age.go
+++ b/pkg/decide/detect/age.go
@@ -5,7 +5,7 @@
 const (
 	// secondCount is the multiple of the stall age at which a request counts as a second failure. The slots of a stalled
 	// server fill up and it gets no further requests, so that the few in flight have to suffice.
-	secondCount = 4
+	secondCount = 2
 	// maxCounts bounds the weight of one request, so that a single lost response never suffices for suspicion.
 	maxCounts = 2
 	// lateSweep is how late a sweep has to be for the node to count as paused.
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -17,12 +17,12 @@
 	FailingRate = 0.5
 )
 
-// Thresholds of the sum for each preference. One failure adds ln(0.5/0.02) = 3.2, so they correspond to 3, 4 and 6
+// Thresholds of the sum for each preference. One failure adds ln(0.5/0.02) = 3.2, so they correspond to 4, 6 and 10
 // failures in a row. docs/decisions/002-detection.md has the measured detection times and false ejections.
 const (
-	thresholdFaster   = 9
-	thresholdBalanced = 12
-	thresholdFewer    = 18
+	thresholdFaster   = 12
+	thresholdBalanced = 18
+	thresholdFewer    = 30
 )
 
 const (
--- a/pkg/decide/detect/detect_test.go
+++ b/pkg/decide/detect/detect_test.go
@@ -12,7 +12,7 @@
 	for _, c := range []struct {
 		preference fleet.Preference
 		failures   int
-	}{{fleet.FasterDetection, 3}, {fleet.Balanced, 4}, {fleet.FewerFalseEjections, 6}} {
+	}{{fleet.FasterDetection, 4}, {fleet.Balanced, 6}, {fleet.FewerFalseEjections, 10}} {
 		t.Run(string(c.preference), func(t *testing.T) {
 			x := SettingsOf(fleet.Service{Preference: c.preference})
 			s := &State{}
@@ -51,17 +51,17 @@
 func TestEvidence(t *testing.T) {
 	t.Run("slow responses are failures", func(t *testing.T) {
 		s := &State{}
-		feed(s, 4, Sample{Evidence: fleet.Succeeded, Latency: time.Second}, normal, balanced)
+		feed(s, 6, Sample{Evidence: fleet.Succeeded, Latency: time.Second}, normal, balanced)
 		assertSuspected(t, s, normal, balanced, true)
 	})
 	t.Run("connection failures count in a cold start", func(t *testing.T) {
 		s := &State{Appeared: start}
-		feed(s, 4, Sample{Evidence: fleet.Unreachable, Latency: time.Second}, normal, balanced)
+		feed(s, 6, Sample{Evidence: fleet.Unreachable, Latency: time.Second}, normal, balanced)
 		assertSuspected(t, s, normal, balanced, true)
 	})
 	t.Run("successful probes do not outweigh failed requests", func(t *testing.T) {
 		s := &State{}
-		feed(s, 4, request(fleet.Failed), normal, balanced)
+		feed(s, 6, request(fleet.Failed), normal, balanced)
 		feed(s, 100, Sample{Evidence: fleet.Succeeded, Probe: true}, normal, balanced)
 		assertSuspected(t, s, normal, balanced, true)
 	})
@@ -110,7 +110,7 @@
 		assertSum(t, s, 0, 0)
 	})
 	t.Run("a minority of failing servers does not move the baseline", func(t *testing.T) {
-		pool := []*State{{Sum: 24}, {Sum: 24}, {}, {}, {}, {}}
+		pool := []*State{{Sum: 36}, {Sum: 36}, {}, {}, {}, {}}
 		b := Rest(Summarize(pool, start), pool[0], start)
 		assertSuspected(t, pool[0], b, balanced, true)
 	})
--- a/pkg/decide/detect/ejection_test.go
+++ b/pkg/decide/detect/ejection_test.go
@@ -92,21 +92,21 @@
 		want  Scope
 	}{
 		{"own zone alone avoids", x.Threshold, nil, Avoided},
-		{"a second member of the own zone does not widen", x.Threshold, []Report{report("a", 24, 0)}, Avoided},
-		{"one foreign zone is not enough", 0, []Report{report("b", 24, 0), report("b", 24, 0)}, InUse},
-		{"one foreign zone and one own failure are not enough", 3.2, []Report{report("b", 24, 0)}, InUse},
-		{"two foreign zones eject", 0, []Report{report("b", 6, 0), report("c", 6, 0)}, Ejected},
-		{"own and foreign zone eject", 6, []Report{report("b", 6, 0)}, Ejected},
-		{"old reports do not count", 0, []Report{report("b", 24, 0), report("c", 24, time.Minute)}, InUse},
+		{"a second member of the own zone does not widen", x.Threshold, []Report{report("a", 36, 0)}, Avoided},
+		{"one foreign zone is not enough", 0, []Report{report("b", 36, 0), report("b", 36, 0)}, InUse},
+		{"one foreign zone and one own failure are not enough", 3.2, []Report{report("b", 36, 0)}, InUse},
+		{"two foreign zones eject", 0, []Report{report("b", 9, 0), report("c", 9, 0)}, Ejected},
+		{"own and foreign zone eject", 9, []Report{report("b", 9, 0)}, Ejected},
+		{"old reports do not count", 0, []Report{report("b", 36, 0), report("c", 36, time.Minute)}, InUse},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			own := Report{AvailabilityZone: "a", Excess: c.own}
+			own := Report{AvailabilityZone: "a", Excess: c.own, LastFailure: start}
 			assertScope(t, Judge(&State{}, own, c.peers, x, start), c.want)
 		})
 	}
 	t.Run("evidence from before the readmission does not count", func(t *testing.T) {
 		s := &State{Ejection: Ejection{Readmitted: start}}
-		peers := []Report{report("b", 24, time.Second), report("c", 24, time.Second)}
+		peers := []Report{report("b", 36, time.Second), report("c", 36, time.Second)}
 		assertScope(t, Judge(s, Report{AvailabilityZone: "a"}, peers, x, start), InUse)
 	})
 }
--- a/pkg/decide/detect/pool.go
+++ b/pkg/decide/detect/pool.go
@@ -74,6 +74,9 @@
 }
 
 func rate(s *State, now time.Time) float64 {
+	if s.Failures == 0 {
+		return 0
+	}
 	f := decay(s, now)
 	return s.Failures * f / max(s.Weight*f, minWeight)
 }
--- a/pkg/decide/detect/suspect.go
+++ b/pkg/decide/detect/suspect.go
@@ -2,13 +2,16 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
 const (
-	// evidenceAge is how long a failure that a peer saw counts. An ejected server gets no requests, so the reports about it
-	// end by themselves and do not delay its readmission.
-	evidenceAge = 10 * time.Second
+	// evidenceAge is how long the evidence of a zone counts after its last failure. Failures that only noise spreads over
+	// time do not add up, and the reports about an ejected server, which gets no requests, end by themselves.
+	evidenceAge = 3 * time.Second
+	// zoneAge is how long the last outcome of a server counts when the node judges its own reachability.
+	zoneAge = 10 * time.Second
 	// neededZones is the number of availability zones whose evidence makes an ejection.
 	neededZones = 2
 )
@@ -28,12 +31,11 @@
 // The evidence of several zones is added, and each zone counts for half of the threshold at most, so that no single zone
 // ejects a server for the others. The member's own zone alone makes the server avoided.
 func Judge(s *State, own Report, peers []Report, t Settings, now time.Time) Scope {
-	zones := map[string]float64{own.AvailabilityZone: own.Excess}
-	for _, p := range peers {
-		if now.Sub(p.LastFailure) > evidenceAge || !p.LastFailure.After(s.Ejection.Readmitted) {
-			continue
+	zones := map[string]float64{}
+	for _, r := range slices.Concat(peers, []Report{own}) {
+		if now.Sub(r.LastFailure) <= evidenceAge && r.LastFailure.After(s.Ejection.Readmitted) {
+			zones[r.AvailabilityZone] += r.Excess
 		}
-		zones[p.AvailabilityZone] += p.Excess
 	}
 	if total, n := combine(zones, t); n >= neededZones && total >= t.Threshold {
 		return Ejected
@@ -68,7 +70,7 @@
 
 // AddZone counts the server in its zone, if a real request showed its state recently.
 func AddZone(zones map[string]ZoneState, zone string, s *State, t Settings, now time.Time) {
-	if now.Sub(s.LastReal) > evidenceAge || s.LastReal.IsZero() {
+	if now.Sub(s.LastReal) > zoneAge || s.LastReal.IsZero() {
 		return
 	}
 	z := zones[zone]
--- a/pkg/decide/floor/floor.go
+++ b/pkg/decide/floor/floor.go
@@ -42,6 +42,8 @@
 	Ejected    []string
 	Readmitted []string
 	Kept       []string
+	// Summary describes the pool as it was judged.
+	Summary detect.Summary
 }
 
 // Decide judges every server of the pool and applies the result.
@@ -53,10 +55,14 @@
 	summary := detect.Summarize(states, now)
 	for i, s := range pool {
 		excess := detect.Excess(s.State, detect.Rest(summary, s.State, now))
-		own := detect.Report{Member: m.HostID, AvailabilityZone: m.AvailabilityZone, Excess: excess}
+		own := detect.Report{
+			Member: m.HostID, AvailabilityZone: m.AvailabilityZone, Excess: excess, LastFailure: s.State.LastFailure,
+		}
 		pool[i].Suspected = detect.Judge(s.State, own, m.Reports[s.Address], r.Settings, now)
 	}
-	return Apply(pool, r, now)
+	c := Apply(pool, r, now)
+	c.Summary = summary
+	return c
 }
 
 // Apply ejects suspected servers, the most suspected first, as long as the floor holds without them. If the floor does
--- a/pkg/healthcmd/health_test.go
+++ b/pkg/healthcmd/health_test.go
@@ -28,7 +28,7 @@
 		m.start(0)
 		m.start(0)
 		for range 10 {
-			m.round()
+			m.advance(SweepPeriod)
 		}
 		assertUse(t, m, 0, "avoided")
 		assertReason(t, m, 0, "no response in time")
--- a/pkg/healthcmd/sweep.go
+++ b/pkg/healthcmd/sweep.go
@@ -60,7 +60,6 @@
 
 func sweepAges(b *table.Backends, name string, paused bool, now time.Time) {
 	health := b.Health[name]
-	health.Summary = detect.Summarize(states(b.Services[name]), now)
 	for _, s := range b.Services[name] {
 		baseline := detect.Rest(health.Summary, &s.State, now)
 		for id, f := range s.InFlight {
@@ -71,15 +70,6 @@
 			s.InFlight[id] = f
 		}
 	}
-	health.Summary = detect.Summarize(states(b.Services[name]), now)
-}
-
-func states(servers map[string]*table.Backend) []*detect.State {
-	list := make([]*detect.State, 0, len(servers))
-	for _, s := range servers {
-		list = append(list, &s.State)
-	}
-	return list
 }
 
 func addZones(b *table.Backends, name string, zones map[string]detect.ZoneState, now time.Time) {
@@ -101,6 +91,7 @@
 	}
 	rule := floor.Rule{Floor: health.Floor, Settings: health.Settings, Isolated: b.Isolated}
 	changes := floor.Decide(pool, self, rule, now)
+	health.Summary = changes.Summary
 	for _, address := range changes.Kept {
 		b.Services[name][address].Kept = true
 	}
--- a/pkg/healthquery/report.go
+++ b/pkg/healthquery/report.go
@@ -10,6 +10,10 @@
 	"egretline.example/egretline/pkg/table"
 )
 
+// ReportPeriod is the time between two reports to the group while a node has suspicions. It is part of the detection time,
+// which has a target of 2 s. Without suspicions the report goes with the regular heartbeat.
+const ReportPeriod = 250 * time.Millisecond
+
 // maxSuspicions bounds the size of a heartbeat. A node that suspects more servers at once reports the most suspected.
 const maxSuspicions = 32
 
--- a/pkg/trace/player.go
+++ b/pkg/trace/player.go
@@ -179,7 +179,6 @@
 }
 
 func (p *Pool) sweepAges(now time.Time) {
-	p.Summary = p.summarize(now)
 	for _, s := range p.Servers {
 		b := detect.Rest(p.Summary, &s.State, now)
 		for _, f := range s.Flights {
@@ -188,15 +187,6 @@
 			}
 		}
 	}
-	p.Summary = p.summarize(now)
-}
-
-func (p *Pool) summarize(now time.Time) detect.Summary {
-	states := make([]*detect.State, 0, len(p.Servers))
-	for _, s := range p.Servers {
-		states = append(states, &s.State)
-	}
-	return detect.Summarize(states, now)
 }
 
 func (p *Pool) decide(m *Player, now time.Time) {
@@ -205,7 +195,7 @@
 		list = append(list, floor.Server{Address: address, Leaving: s.Leaving, State: &s.State})
 	}
 	rule := floor.Rule{Floor: p.Floor, Settings: p.Settings, Isolated: m.Isolated}
-	floor.Decide(list, floor.Member{AvailabilityZone: m.AvailabilityZone, Reports: p.Reports}, rule, now)
+	p.Summary = floor.Decide(list, floor.Member{AvailabilityZone: m.AvailabilityZone, Reports: p.Reports}, rule, now).Summary
 }
 
 // note compares the scopes with those of the last sweep, so that readmissions by trial requests are seen too.
