--- a/pkg/decide/detect/suspect.go
+++ b/pkg/decide/detect/suspect.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -47,7 +48,9 @@
 }
 
 func combine(zones map[string]float64, t Settings) (total float64, contributing int) {
-	for _, excess := range zones {
+	// The order is fixed, because the sum of floating-point numbers depends on it.
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		excess := zones[zone]
 		if excess <= 0 {
 			continue
 		}
--- a/pkg/healthcmd/report.go
+++ b/pkg/healthcmd/report.go
@@ -1,6 +1,8 @@
 package healthcmd
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/detect"
@@ -62,7 +64,8 @@
 // reports returns the reports of the peers about the service, by address.
 func reports(b *table.Backends, service string) map[string][]detect.Report {
 	list := map[string][]detect.Report{}
-	for id, p := range b.Peers {
+	for _, id := range slices.Sorted(maps.Keys(b.Peers)) {
+		p := b.Peers[id]
 		for key, s := range p.Suspicions {
 			if key.Service != service {
 				continue
--- a/pkg/measure/health.go
+++ b/pkg/measure/health.go
@@ -27,6 +27,8 @@
 	// noiseRate is the failure rate of healthy noisy traffic.
 	noiseRate  = 0.02
 	slowFactor = 20
+	// coldTime is how long a server is slow after it joined.
+	coldTime = 5 * time.Second
 )
 
 // Detector is one member's way to take servers out of use.
@@ -68,6 +70,8 @@
 	Crash     Fault = "crash"
 	Partition Fault = "partition-one-zone"
 	SlowPool  Fault = "slow-pool"
+	// ColdStart is a server that joins the pool and is slow at first. It is no fault.
+	ColdStart Fault = "cold-start"
 )
 
 // Scenario is one service, the members of its group, and a fault.
@@ -99,6 +103,10 @@
 	False int
 }
 
+func (f Fault) harmless() bool {
+	return f == NoFault || f == SlowPool || f == ColdStart
+}
+
 var healthEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 type healthRun struct {
@@ -136,13 +144,13 @@
 			id: fmt.Sprint("member-", i), zone: zone, detector: s.New(s), outstanding: map[string]int{},
 		})
 	}
-	r.define()
+	r.define(r.Service)
 	for r.now = healthEpoch; r.now.Before(healthEpoch.Add(s.Length)); r.now = r.now.Add(healthStep) {
 		r.step()
 	}
 	for _, m := range r.members {
 		for i, b := range s.Service.BackendServers {
-			if s.Fault == NoFault || s.Fault == SlowPool || i > 0 {
+			if s.Fault.harmless() || i > 0 {
 				r.result.False += m.detector.Out(b.Address)
 			}
 		}
@@ -150,11 +158,15 @@
 	return r.result
 }
 
-func (r *healthRun) define() {
+// define tells the members about the pool. A server with a cold start joins only when that begins.
+func (r *healthRun) define(s fleet.Service) {
+	if r.Fault == ColdStart && r.now.Sub(healthEpoch) < r.FaultAt {
+		s.BackendServers = s.BackendServers[1:]
+	}
 	for _, m := range r.members {
 		r.apply(m, trace.Event{
 			At: r.now, Kind: trace.Defined, Service: r.Service.Name, AvailabilityZone: m.zone,
-			Definition: trace.Describe(r.Service),
+			Definition: trace.Describe(s),
 		})
 	}
 }
@@ -168,6 +180,9 @@
 
 func (r *healthRun) step() {
 	elapsed := r.now.Sub(healthEpoch)
+	if r.Fault == ColdStart && elapsed == r.FaultAt {
+		r.define(r.Service)
+	}
 	for i, m := range r.members {
 		r.finish(m)
 		for !m.next.After(r.now) {
@@ -202,7 +217,10 @@
 // arrive sends a request to the server in use with the fewest outstanding requests, as dispatch does.
 func (r *healthRun) arrive(m *simMember) {
 	best, ties := "", 0
-	for _, b := range r.Service.BackendServers {
+	for i, b := range r.Service.BackendServers {
+		if i == 0 && r.Fault == ColdStart && r.now.Sub(healthEpoch) < r.FaultAt {
+			continue
+		}
 		use := m.detector.Use(b.Address, r.now)
 		if use == None || m.outstanding[b.Address] >= inFlightLimit {
 			continue
@@ -262,6 +280,9 @@
 	if r.Fault == SlowPool {
 		return Slow
 	}
+	if r.Fault == ColdStart && since > coldTime {
+		return NoFault
+	}
 	if address != r.Service.BackendServers[0].Address || (r.Fault == Partition && zone != r.Zones[0]) {
 		return NoFault
 	}
@@ -280,7 +301,7 @@
 		return fleet.Unreachable, time.Millisecond
 	case Partition:
 		return fleet.Unreachable, connectTimeout
-	case Slow:
+	case Slow, ColdStart:
 		return fleet.Succeeded, slowFactor * latency
 	case Partial:
 		if r.random.Float64() < 0.5 {
@@ -323,7 +344,7 @@
 
 // detect notes when the members stopped using the server that fails.
 func (r *healthRun) detect(elapsed time.Duration) {
-	if r.Fault == NoFault || r.Fault == SlowPool || elapsed < r.FaultAt || r.result.All >= 0 {
+	if r.Fault.harmless() || elapsed < r.FaultAt || r.result.All >= 0 {
 		return
 	}
 	all := true
--- a/pkg/measure/health_detectors.go
+++ b/pkg/measure/health_detectors.go
@@ -1,6 +1,8 @@
 package measure
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/detect"
@@ -56,8 +58,8 @@
 func (m *Member) Report(member string, now time.Time) []trace.Event {
 	var events []trace.Event
 	pool := m.Services[m.service]
-	for address, server := range pool.Servers {
-		s := &server.State
+	for _, address := range slices.Sorted(maps.Keys(pool.Servers)) {
+		s := &pool.Servers[address].State
 		b := detect.Rest(pool.Summary, s, now)
 		e := trace.Event{
 			At: now, Kind: trace.Reported, Service: m.service, Address: address, Peer: member,
