--- a/service/operatorcmd/operatorcmd.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package operatorcmd serves the requests of operators that change state.
-package operatorcmd
