Test that forwards are never replayed, and add entries and drain

Result: go test -race ./service/peer passes; with http.NoBody in place of the body that cannot be rewound, two of its subtests fail.

--- a/cmd/egretline/cmds/command/register.go
+++ b/cmd/egretline/cmds/command/register.go
@@ -16,6 +16,7 @@
 	return []subcommands.Command{
 		newApply(),
 		&serve{},
+		&drain{},
 		&loadCommand{},
 	}
 }
--- a/cmd/egretline/cmds/query/register.go
+++ b/cmd/egretline/cmds/query/register.go
@@ -17,6 +17,7 @@
 		newCheck(),
 		&report{},
 		&show{},
+		&entries{},
 		&version{},
 	}
 }
--- /dev/null
+++ b/service/peer/forward_test.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/service/api"
+)
+
+// contacts ignores the results of contacts.
+type contacts struct{}
+
+func (contacts) ObserveContact(string, bool, time.Time) {}
+
+// node is a node that answers the first request of each connection and reads the second one without an answer, as a
+// node does that is killed with a request in flight.
+func node(t *testing.T) (host fleet.Host, requests *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	requests = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(conn, requests)
+		}
+	}()
+	return fleet.Host{ID: "n", PeerAddress: l.Addr().String()}, requests
+}
+
+func answerOnce(conn net.Conn, requests *atomic.Int64) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		requests.Add(1)
+		if i == 0 {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + api.HeaderRequestID + ": " +
+				r.Header.Get(api.HeaderRequestID) + "\r\n" + api.HeaderOutcome + ": answered\r\n\r\n"))
+		}
+	}
+}
+
+func forward(t *testing.T, f *Forwarder, h Hop) table.Result {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.Context, h.Writer, h.RequestID = ctx, httptest.NewRecorder(), "id"
+	h.Request = httptest.NewRequest(http.MethodPost, "/loans/1", http.NoBody)
+	h.Request.Header.Set(api.HeaderIdempotencyKey, "n.i.0.a")
+	return f.Forward(h)
+}
+
+func newForwarder(t *testing.T) *Forwarder {
+	t.Helper()
+	transport := NewTransport(nil)
+	f := NewForwarder("self", transport, contacts{}, 2)
+	t.Cleanup(func() {
+		f.Close()
+		transport.CloseIdleConnections()
+	})
+	return f
+}
+
+func unreachable(t *testing.T) fleet.Host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(l.Close())
+	return fleet.Host{ID: "gone", PeerAddress: l.Addr().String()}
+}
+
+func assertOutcome(t *testing.T, r table.Result, want fleet.Outcome) {
+	t.Helper()
+	is.New(t).Equal(r.Outcome, want)
+}
+
+func TestForward(t *testing.T) {
+	t.Run("a request with a key is sent once over a reused connection that breaks", func(t *testing.T) {
+		f := newForwarder(t)
+		target, requests := node(t)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{target}, Keyed: true}), fleet.Answered)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{target}, Keyed: true}), fleet.Unknown)
+		// Without the body that cannot be rewound, the transport would send the request again by itself.
+		is.New(t).Equal(requests.Load(), int64(2))
+	})
+	t.Run("a request that may have arrived goes to no further node", func(t *testing.T) {
+		f := newForwarder(t)
+		first, requests := node(t)
+		second, others := node(t)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{first}}), fleet.Answered)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{first, second}}), fleet.Unknown)
+		is.New(t).Equal(requests.Load(), int64(2))
+		is.New(t).Equal(others.Load(), int64(0))
+	})
+	t.Run("an idempotent request without a body goes to the next node", func(t *testing.T) {
+		f := newForwarder(t)
+		first, _ := node(t)
+		second, _ := node(t)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{first}}), fleet.Answered)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{first, second}, Idempotent: true}), fleet.Answered)
+	})
+	t.Run("a node that cannot be connected is passed over", func(t *testing.T) {
+		f := newForwarder(t)
+		second, _ := node(t)
+		assertOutcome(t, forward(t, f, Hop{Targets: []fleet.Host{unreachable(t), second}}), fleet.Answered)
+	})
+	t.Run("a request that reached no node was not run", func(t *testing.T) {
+		assertOutcome(t, forward(t, newForwarder(t), Hop{Targets: []fleet.Host{unreachable(t)}}), fleet.NotRun)
+	})
+	t.Run("a key whose home cannot be connected is unknown", func(t *testing.T) {
+		assertOutcome(t, forward(t, newForwarder(t), Hop{Targets: []fleet.Host{unreachable(t)}, Keyed: true}), fleet.Unknown)
+	})
+	t.Run("a full pool refuses, and a key is unknown", func(t *testing.T) {
+		f := newForwarder(t)
+		f.Close()
+		assertOutcome(t, forward(t, f, Hop{}), fleet.NotRun)
+		assertOutcome(t, forward(t, f, Hop{Keyed: true}), fleet.Unknown)
+	})
+	t.Run("the response to another request is not passed on", func(t *testing.T) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(api.HeaderRequestID, "other")
+			w.Header().Set(api.HeaderOutcome, "answered")
+		}))
+		defer s.Close()
+		target := fleet.Host{ID: "n", PeerAddress: strings.TrimPrefix(s.URL, "http://")}
+		r := forward(t, newForwarder(t), Hop{Targets: []fleet.Host{target}})
+		assertOutcome(t, r, fleet.Unknown)
+		is.New(t).True(errors.As(r.Err, &MismatchError{}))
+	})
+	t.Run("a response that breaks off is aborted", func(t *testing.T) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("short"))
+		}))
+		defer s.Close()
+		target := fleet.Host{ID: "n", PeerAddress: strings.TrimPrefix(s.URL, "http://")}
+		r := forward(t, newForwarder(t), Hop{Targets: []fleet.Host{target}})
+		assertOutcome(t, r, fleet.Unknown)
+		is.New(t).True(r.Aborted)
+	})
+}
