Decide admission by rank credit and retries by budget

Cause: the first dispatcher served ranks in strict order and never retried. Change: shares in slot time, slot limits, tenants in turn, tenant limits, early refusal, expiry, adaptive limits per backend server, retry budget and proof rules.

--- /dev/null
+++ b/pkg/decide/admission/limit.go
@@ -0,0 +1,44 @@
+package admission
+
+// shedFactor is what a shed response leaves of the limit. A cut by 30% keeps more of the slots in use than halving, and
+// is still repeated quickly enough when several nodes share the server.
+const shedFactor = 0.7
+
+// Limit bounds the requests that one node has outstanding at one backend server. It is a fraction, because several
+// nodes share the server's slots.
+type Limit struct {
+	Value float64
+	Slots int
+}
+
+// NewLimit returns the limit to start from: the node's part of the slots, if the nodes of the group share them evenly.
+func NewLimit(slots, groupSize int) Limit {
+	return Limit{Value: clampLimit(float64(slots)/float64(max(groupSize, 1)), slots), Slots: slots}
+}
+
+// Allows says that one more request may go to the backend server.
+func (l *Limit) Allows(outstanding int) bool {
+	return outstanding < l.Max()
+}
+
+// Max returns the number of requests that may be outstanding.
+func (l *Limit) Max() int {
+	return int(l.Value)
+}
+
+// Shed lowers the limit after an explicit refusal because of load.
+func (l *Limit) Shed() {
+	l.Value = clampLimit(l.Value*shedFactor, l.Slots)
+}
+
+// Success raises the limit after a response that came while the given number of requests, itself included, was
+// outstanding. Below the limit a response says nothing about more load.
+func (l *Limit) Success(outstanding int) {
+	if outstanding >= l.Max() {
+		l.Value = clampLimit(l.Value+1/l.Value, l.Slots)
+	}
+}
+
+func clampLimit(v float64, slots int) float64 {
+	return max(min(v, float64(slots)), 1)
+}
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -1,7 +1,34 @@
 // Package retry decides what becomes of a request after a failed attempt.
 package retry
 
-import "egretline.example/egretline/pkg/fleet"
+import (
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// Terms of the retry budget of a service at one node. A tenth of a retry for each first attempt holds the long-run
+// amplification at 1.1; the cap bounds what a quiet period can save up for a burst of failures.
+const (
+	EarnPerFirstAttempt = 0.1
+	CostPerRetry        = 1.0
+	BudgetCap           = 10.0
+)
+
+// Budget bounds the retries of one service at one node.
+type Budget struct {
+	Balance float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() Budget {
+	return Budget{Balance: BudgetCap}
+}
+
+// Earn adds the part of a retry that a first attempt earns.
+func Earn(b *Budget) {
+	b.Balance = min(b.Balance+EarnPerFirstAttempt, BudgetCap)
+}
 
 // Attempt describes a finished attempt.
 type Attempt struct {
@@ -11,9 +38,55 @@
 	Sent bool
 	// MaybeRun says that an earlier attempt of the same request may have run.
 	MaybeRun bool
+	// BodyLost says that the request body cannot be sent again.
+	BodyLost bool
+	// Left is the time until the deadline, which covers all attempts.
+	Left time.Duration
+}
+
+// Reason says why a request is or is not attempted again.
+type Reason string
+
+// Reasons of a decision.
+const (
+	// Allowed means that the request is attempted again.
+	Allowed Reason = "retry-allowed"
+	// Complete means that the attempt brought a response that stands.
+	Complete Reason = "complete"
+	// CallerGone means that the caller gave up.
+	CallerGone Reason = "caller-gone"
+	// PossiblyRun means that a request which is not idempotent may have run.
+	PossiblyRun Reason = "possibly-run"
+	// BodyLost means that the request body was too large to keep.
+	BodyLost Reason = "body-lost"
+	// DeadlinePassed means that no time is left.
+	DeadlinePassed Reason = "deadline-passed"
+	// BudgetSpent means that the service has no retries left.
+	BudgetSpent Reason = "retry-budget-spent"
+)
+
+// Decide says whether the request is attempted again, and spends one retry of the budget if it is.
+func Decide(a Attempt, b *Budget) Reason {
+	switch {
+	case a.Evidence == fleet.Succeeded:
+		return Complete
+	case a.Evidence == fleet.Canceled:
+		return CallerGone
+	case a.Left <= 0:
+		return DeadlinePassed
+	case !a.Idempotent && (a.MaybeRun || !Refused(a)):
+		return PossiblyRun
+	case a.BodyLost:
+		return BodyLost
+	case b.Balance < CostPerRetry:
+		return BudgetSpent
+	}
+	b.Balance -= CostPerRetry
+	return Allowed
 }
 
-// Refused says that the attempt was proven not to have run the request.
+// Refused says that the attempt was proven not to have run the request: no byte was sent, or the backend server refused
+// it explicitly.
 func Refused(a Attempt) bool {
 	return !a.Sent || a.Evidence == fleet.Shed || a.Evidence == fleet.Draining
 }
--- /dev/null
+++ b/pkg/decide/retry/retry_test.go
@@ -0,0 +1,88 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+var evidences = []fleet.Evidence{
+	fleet.Succeeded, fleet.Failed, fleet.Unreachable, fleet.Shed, fleet.Draining, fleet.Canceled,
+}
+
+func drawAttempt(t *rapid.T) Attempt {
+	return Attempt{
+		Evidence:   rapid.SampledFrom(evidences).Draw(t, "evidence"),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Sent:       rapid.Bool().Draw(t, "sent"),
+		Left:       time.Duration(rapid.IntRange(-1, 5).Draw(t, "left")) * time.Second,
+	}
+}
+
+func TestDecide(t *testing.T) {
+	t.Run("retries stay within a tenth of the first attempts and the cap", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			b, first, retries := NewBudget(), 0, 0
+			for range rapid.IntRange(1, 300).Draw(t, "requests") {
+				first++
+				Earn(&b)
+				a := drawAttempt(t)
+				for Decide(a, &b) == Allowed {
+					retries++
+				}
+				if float64(retries) > EarnPerFirstAttempt*float64(first)+BudgetCap {
+					t.Fatalf("%d retries after %d first attempts", retries, first)
+				}
+			}
+		})
+	})
+	t.Run("a request that is not idempotent runs at most once", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			b, runs := NewBudget(), 0
+			var a Attempt
+			for {
+				maybeRun := a.MaybeRun || a.Evidence != "" && !Refused(a)
+				a = drawAttempt(t)
+				a.Idempotent, a.MaybeRun = false, maybeRun
+				if a.Sent && a.Evidence != fleet.Shed && a.Evidence != fleet.Draining {
+					runs++
+				}
+				if Decide(a, &b) != Allowed {
+					break
+				}
+			}
+			if runs > 1 {
+				t.Fatalf("the request may have run %d times", runs)
+			}
+			if told := Outcome(a); (told == fleet.NotRun) != (runs == 0) {
+				t.Fatalf("told %s, but the request may have run %d times", told, runs)
+			}
+		})
+	})
+	t.Run("each obstacle to a retry has its reason", func(t *testing.T) {
+		failed := Attempt{Evidence: fleet.Failed, Idempotent: true, Sent: true, Left: time.Second}
+		for _, c := range []struct {
+			change func(*Attempt)
+			budget Budget
+			want   Reason
+		}{
+			{func(*Attempt) {}, NewBudget(), Allowed},
+			{func(*Attempt) {}, Budget{Balance: 0.9}, BudgetSpent},
+			{func(a *Attempt) { a.Left = 0 }, NewBudget(), DeadlinePassed},
+			{func(a *Attempt) { a.Idempotent = false }, NewBudget(), PossiblyRun},
+			{func(a *Attempt) { a.Evidence = fleet.Canceled }, NewBudget(), CallerGone},
+			{func(a *Attempt) { a.Evidence = fleet.Succeeded }, NewBudget(), Complete},
+			{func(a *Attempt) { a.BodyLost = true }, NewBudget(), BodyLost},
+		} {
+			t.Run(string(c.want), func(t *testing.T) {
+				a := failed
+				c.change(&a)
+				is.New(t).Equal(Decide(a, &c.budget), c.want)
+			})
+		}
+	})
+}
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -111,11 +111,14 @@
 	if !anyFree(b.Services[service]) {
 		return false
 	}
-	item, ok := admission.Next(queue, now)
-	if !ok {
+	picked := admission.Next(queue, now, nil)
+	for _, late := range picked.Late {
+		late.Payload.Done <- Abandoned(late.Payload)
+	}
+	if !picked.Found {
 		return false
 	}
-	t := item.Payload
+	t := picked.Item.Payload
 	server := choose(b.Services[service], t.Tried)
 	server.Outstanding++
 	server.InFlight[t.ID] = table.InFlight{Started: now}
