--- a/cmd/egretline-standin/cmds/cmds.go
+++ b/cmd/egretline-standin/cmds/cmds.go
@@ -4,10 +4,14 @@
 import (
 	"context"
 	"flag"
+	"time"
 
 	"github.com/google/subcommands"
 )
 
+// readHeaderTimeout bounds how long a connection may take to send its request headers.
+const readHeaderTimeout = 10 * time.Second
+
 // Run runs the subcommand that the arguments name and returns the exit code of the process.
 func Run(ctx context.Context, args []string) int {
 	flags := flag.NewFlagSet("egretline-standin", flag.ContinueOnError)
@@ -23,5 +27,9 @@
 }
 
 func all() []subcommands.Command {
-	return []subcommands.Command{}
+	return []subcommands.Command{
+		&hosts{},
+		&backends{},
+		&logService{},
+	}
 }
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -27,6 +27,11 @@
 	TenantInFlight Reason = "tenant-in-flight"
 )
 
+// OfTenant says that the request exceeded a limit of its tenant.
+func (r Reason) OfTenant() bool {
+	return r == TenantRate || r == TenantInFlight
+}
+
 // RefusedError reports a request that was refused before any attempt, so that it was not run.
 type RefusedError struct {
 	Reason Reason
--- a/pkg/decide/admission/tenant.go
+++ b/pkg/decide/admission/tenant.go
@@ -14,11 +14,14 @@
 	Refilled time.Time
 	// InFlight is the number of requests that wait or run.
 	InFlight int
+	// Limits are those of the last request.
+	Limits fleet.Limits
 }
 
 // Enter admits one request of the tenant, or returns RefusedError. An admitted request is ended with Leave.
 func Enter(u *Usage, l fleet.Limits, tenant string, now time.Time) error {
-	refill(u, l, now)
+	u.Limits = l
+	refill(u, now)
 	if l.InFlight > 0 && u.InFlight >= l.InFlight {
 		return RefusedError{Reason: TenantInFlight, Tenant: tenant, RetryAfter: minRetryAfter}
 	}
@@ -41,12 +44,13 @@
 }
 
 // Idle says that the usage holds nothing that a new one would not hold, so that it can be dropped.
-func Idle(u *Usage, l fleet.Limits, now time.Time) bool {
-	refill(u, l, now)
-	return u.InFlight == 0 && u.Tokens >= burst(l)
+func Idle(u *Usage, now time.Time) bool {
+	refill(u, now)
+	return u.InFlight == 0 && u.Tokens >= burst(u.Limits)
 }
 
-func refill(u *Usage, l fleet.Limits, now time.Time) {
+func refill(u *Usage, now time.Time) {
+	l := u.Limits
 	if u.Refilled.IsZero() {
 		u.Tokens = burst(l)
 	} else {
--- /dev/null
+++ b/pkg/dispatchcmd/errors.go
@@ -0,0 +1,74 @@
+package dispatchcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/retry"
+)
+
+// ServiceError reports a request for a service that the configuration does not have.
+type ServiceError struct {
+	Service string
+}
+
+func (e ServiceError) Error() string {
+	return fmt.Sprintf("service %q has no backend servers in the configuration", e.Service)
+}
+
+// ClosingError reports a request that arrived after the dispatcher began to close.
+type ClosingError struct{}
+
+func (ClosingError) Error() string {
+	return "the node is stopping and takes no more requests"
+}
+
+// ExpiredError reports a request that was not dispatched before its deadline.
+type ExpiredError struct {
+	Service string
+}
+
+func (e ExpiredError) Error() string {
+	return fmt.Sprintf("request waited in the queue of service %q until its deadline", e.Service)
+}
+
+// AbandonedError reports a waiting request that its caller gave up.
+type AbandonedError struct {
+	Service string
+}
+
+func (e AbandonedError) Error() string {
+	return fmt.Sprintf("caller gave up a request that waited in the queue of service %q", e.Service)
+}
+
+// AttemptsError reports a request whose last attempt brought no response.
+type AttemptsError struct {
+	Attempts int
+	Reason   retry.Reason
+	Err      error
+}
+
+func (e AttemptsError) Error() string {
+	return fmt.Sprintf("attempt %d failed and was the last: %s: %v", e.Attempts, e.Reason, e.Err)
+}
+
+func (e AttemptsError) Unwrap() error { return e.Err }
+
+// RetryAfter returns the wait that the error asks the caller to keep, or zero.
+func RetryAfter(err error) time.Duration {
+	var refused admission.RefusedError
+	if errors.As(err, &refused) {
+		return refused.RetryAfter
+	}
+	return 0
+}
+
+func endError(ctx context.Context, service string) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return AbandonedError{Service: service}
+	}
+	return ExpiredError{Service: service}
+}
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -2,7 +2,10 @@
 // outcomes of requests. It has no behavior beyond small lookups, so that any front end can use it.
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Preference shifts the balance between fast detection and few false ejections for a service.
 type Preference string
@@ -57,6 +60,15 @@
 	Idempotent bool
 	// Timeout bounds all attempts of one request together.
 	Timeout time.Duration
+	// Refusal says why requests of the route are refused as not run. It is empty if the route can be served. Merging sets
+	// it for a route whose service or rank no file defines.
+	Refusal string
+}
+
+// RouteKey is what identifies a route towards callers.
+type RouteKey struct {
+	Method     string
+	PathPrefix string
 }
 
 // Limits bounds what one tenant may ask of one node. Zero means no limit.
@@ -93,6 +105,37 @@
 	Services map[string]Service
 	// Routes is sorted by descending length of PathPrefix, so that the first match is the most specific.
 	Routes []Route
+	// RouteIndex finds the position of a route in Routes.
+	RouteIndex map[RouteKey]int
 	// Tenants is keyed by TokenSHA256.
 	Tenants map[string]Tenant
+	// Problems lists what merging found between the files.
+	Problems []Problem
+}
+
+// Problem is a fault in a configuration file, with its place and remedy.
+type Problem struct {
+	File string
+	// Line starts at 1; zero if the fault has no place in the text.
+	Line int
+	// Key is the dotted key, such as service.bookdesk.floor.
+	Key     string
+	Message string
+	// Remedy says what to write instead.
+	Remedy string
+}
+
+// Detail returns the problem itself, so that error types that embed it give access to it.
+func (p Problem) Detail() Problem { return p }
+
+// Error returns the place, the fault and the remedy in one line.
+func (p Problem) Error() string {
+	place := p.File
+	if p.Line > 0 {
+		place += ":" + strconv.Itoa(p.Line)
+	}
+	if p.Key != "" {
+		place += ": " + p.Key
+	}
+	return place + ": " + p.Message + "; " + p.Remedy
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -6,8 +6,8 @@
 	"context"
 	"time"
 
-	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/fold"
+	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 )
@@ -29,15 +29,19 @@
 	Members  *guard.Guard[Members]
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
+	Keys     *guard.Guard[Keys]
+	Budgets  *guard.Guard[Budgets]
 }
 
 // New returns empty tables for the node on the given host.
 func New(self fleet.Host, incarnation string) *Tables {
 	return &Tables{
 		Config:   guard.New(RankConfig, Config{}),
-		Members:  guard.New(RankMembers, Members{Self: self, Incarnation: incarnation, Hosts: map[string]Member{}}),
-		Backends: guard.New(RankBackends, Backends{Services: map[string]map[string]*Backend{}}),
-		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
+		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
+		Backends: guard.New(RankBackends, newBackends()),
+		Queues:   guard.New(RankQueues, newQueues()),
+		Keys:     guard.New(RankKeys, newKeys()),
+		Budgets:  guard.New(RankBudgets, Budgets{Services: map[string]*retry.Budget{}}),
 	}
 }
 
@@ -46,65 +50,32 @@
 	Fold fold.State
 	// Compiled is replaced as a whole and never changed in place, so that readers may keep it.
 	Compiled *fleet.Configuration
+	// Decoded is the decoded form of the files by name. It is replaced as a whole, and saves decoding all files again when
+	// one changes.
+	Decoded map[string]DecodedFile
+	// Snapshot is the newest snapshot of the fold that the node knows to be in the log.
+	Snapshot fold.Snapshot
+	// BehindSince is when a peer was first seen with a higher revision; zero if none has one.
+	BehindSince time.Time
 }
 
-// Members is what the node knows of the hosts of the fleet.
-type Members struct {
-	Self        fleet.Host
-	Incarnation string
-	Started     time.Time
-	// Hosts is keyed by host ID and does not hold the node itself.
-	Hosts map[string]Member
-}
-
-// Member is what the node knows of one other host.
-type Member struct {
-	Host        fleet.Host
-	Incarnation string
-	// Epoch is the idempotency key epoch that the host last announced.
-	Epoch    int64
+// DecodedFile is one configuration file after decoding.
+type DecodedFile struct {
 	Revision int64
-	// LastHeard is the time of the last heartbeat; zero if there was none.
-	LastHeard time.Time
-	// Listed says that the host is on the platform's host list.
-	Listed bool
-}
-
-// Backends is the state of the backend servers, by service and address.
-type Backends struct {
-	Services map[string]map[string]*Backend
-}
-
-// Backend is the state of one backend server at this node.
-type Backend struct {
-	Server      fleet.BackendServer
-	FirstSeen   time.Time
-	Outstanding int
-	Leaving     bool
-	// InFlight is keyed by ticket ID.
-	InFlight map[string]InFlight
-}
-
-// InFlight is one request that a backend server has not answered yet.
-type InFlight struct {
-	Started time.Time
-	// Responded says that the response headers have arrived, so that the age no longer hints at a stall.
-	Responded bool
-}
-
-// Queues is the waiting work by service, and the number of requests that workers hold.
-type Queues struct {
-	Services map[string]*admission.Queue[*Ticket]
-	InFlight int
+	File     fleet.File
+	// Problem is set if the file cannot be decoded.
+	Problem *fleet.Problem
 }
 
 // Ticket is one request on its way through the node.
 type Ticket struct {
-	ID         string
-	Service    string
-	Route      string
-	Rank       int
-	Tenant     string
+	ID      string
+	Service string
+	Route   string
+	Rank    int
+	Tenant  string
+	// Limits are those of the tenant.
+	Limits     fleet.Limits
 	Idempotent bool
 	Arrived    time.Time
 	Deadline   time.Time
@@ -114,7 +85,9 @@
 	// Done receives the result once, after the last attempt.
 	Done chan Result
 
-	Attempt int
+	// Dispatched is the time of the first attempt; zero before it.
+	Dispatched time.Time
+	Attempt    int
 	// Tried lists the addresses of earlier attempts.
 	Tried []string
 	// MaybeRun says that an earlier attempt may have run the request.
@@ -151,7 +124,11 @@
 	Status int
 	// RetryAfter is the wait that the caller should keep before it sends the request again; zero if none is known.
 	RetryAfter time.Duration
-	Err        error
+	// Attempts is the number of attempts, Address the backend server of the last one, and Waited the time before the first.
+	Attempts int
+	Address  string
+	Waited   time.Duration
+	Err      error
 }
 
 // Assignment is a ticket and the backend server that it goes to.
--- a/service/api/headers.go
+++ b/service/api/headers.go
@@ -1,4 +1,3 @@
-// Package api holds the message types of egretline's own protocols, apart from the logic that handles them.
 package api
 
 // HTTP headers between callers, nodes and backend servers.
