Explain how a route is dispatched

Cause: operators could not see why a request waits or which servers it may use. Change: dispatchquery reads depths, counters and retry budgets, and explains one route in sentences. Result: go test -race ./pkg/dispatchcmd ./pkg/dispatchquery passes.

--- a/pkg/dispatchcmd/dispatch_test.go
+++ b/pkg/dispatchcmd/dispatch_test.go
@@ -179,7 +179,7 @@
 			wait := n.start(tickets...)
 			closed := make(chan struct{})
 			go func() {
-				n.Dispatcher.Close()
+				n.Close()
 				close(closed)
 			}()
 			synctest.Wait()
--- /dev/null
+++ b/pkg/dispatchquery/queries.go
@@ -0,0 +1,123 @@
+// Package dispatchquery reads the Queues, Backends and Budgets tables, and explains how a request is dispatched.
+package dispatchquery
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthquery"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Queries reads the dispatch state of one node.
+type Queries struct {
+	Tables *table.Tables
+}
+
+// RankDepth is the waiting and running work of one rank for one service.
+type RankDepth struct {
+	Service string
+	Rank    int
+	Waiting int
+	Held    int
+	// MaxHeld is the number of slots that the rank may hold.
+	MaxHeld int
+	// Wait is how long a new request of a tenant without waiting requests would wait.
+	Wait time.Duration
+	// ServiceTime is the mean time for which a request holds a slot; zero if none was observed.
+	ServiceTime time.Duration
+}
+
+// Depths returns the depth of all queues, sorted by service and rank.
+func (q *Queries) Depths() []RankDepth {
+	var list []RankDepth
+	q.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, v *table.Queues) {
+		for name, queue := range v.Services {
+			for r := range queue.Ranks {
+				list = append(list, depth(name, queue, r))
+			}
+		}
+	})
+	slices.SortFunc(list, func(a, b RankDepth) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
+	})
+	return list
+}
+
+func depth(service string, queue *admission.Queue[*table.Ticket], rank int) RankDepth {
+	r := queue.Ranks[rank]
+	return RankDepth{
+		Service: service, Rank: rank, Waiting: r.Waiting, Held: r.Held, MaxHeld: admission.MaxHeld(queue, rank),
+		Wait: admission.Wait(queue, rank, ""), ServiceTime: r.ServiceTime.Mean,
+	}
+}
+
+// Counted is what became of the requests of one service and rank.
+type Counted struct {
+	table.CountKey
+	table.Counts
+}
+
+// Counts returns the counters of all services and ranks, sorted by service and rank.
+func (q *Queries) Counts() []Counted {
+	var list []Counted
+	q.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, v *table.Queues) {
+		for key, c := range v.Counts {
+			copied := *c
+			copied.Refused = maps.Clone(c.Refused)
+			copied.Ended = maps.Clone(c.Ended)
+			list = append(list, Counted{CountKey: key, Counts: copied})
+		}
+	})
+	slices.SortFunc(list, func(a, b Counted) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Rank, b.Rank))
+	})
+	return list
+}
+
+// RetryBalance returns the retries that the service has left. A service without requests so far has a full budget.
+func (q *Queries) RetryBalance(service string) (float64, bool) {
+	var balance float64
+	var known bool
+	q.Tables.Budgets.Read(guard.Held{}, func(_ guard.Held, v *table.Budgets) {
+		if b, ok := v.Services[service]; ok {
+			balance, known = b.Balance, true
+		}
+	})
+	return balance, known
+}
+
+// ServerLoad is the use of one backend server by this node.
+type ServerLoad struct {
+	Address     string
+	Outstanding int
+	// Limit is the number of requests that this node may have outstanding; zero before the first request to the service.
+	Limit int
+	// Use is what an idempotent first attempt may use the server for.
+	Use healthquery.Use
+}
+
+// Servers returns the load of the servers of a service, sorted by address.
+func (q *Queries) Servers(service string, now time.Time) []ServerLoad {
+	var list []ServerLoad
+	q.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for address, s := range b.Services[service] {
+			list = append(list, ServerLoad{
+				Address: address, Outstanding: s.Outstanding, Limit: s.Limit.Max(), Use: healthquery.UseOf(s, true, 0, now),
+			})
+		}
+	})
+	slices.SortFunc(list, func(a, b ServerLoad) int { return cmp.Compare(a.Address, b.Address) })
+	return list
+}
+
+func (q *Queries) configuration() *fleet.Configuration {
+	var c *fleet.Configuration
+	q.Tables.Config.Read(guard.Held{}, func(_ guard.Held, v *table.Config) { c = v.Compiled })
+	return c
+}
