--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -1,39 +1,18 @@
 // Package dispatchcmd moves requests through the node: it admits them to the queue of their service, assigns them to
-// backend servers, and settles them after each attempt. It changes the Queues and Backends tables.
+// backend servers, and settles them after each attempt. It changes the Queues, Backends and Budgets tables.
 package dispatchcmd
 
 import (
-	"fmt"
+	"errors"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
-	"egretline.example/egretline/pkg/decide/detect"
-	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
-	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/pool"
 	"egretline.example/egretline/pkg/table"
 )
 
-// ServiceError reports a request for a service that the configuration does not have.
-type ServiceError struct {
-	Service string
-}
-
-func (e ServiceError) Error() string {
-	return fmt.Sprintf("service %q has no backend servers in the configuration", e.Service)
-}
-
-// ExpiredError reports a request that was not dispatched before its deadline, or that its caller gave up.
-type ExpiredError struct {
-	Service string
-}
-
-func (e ExpiredError) Error() string {
-	return fmt.Sprintf("request waited in the queue of service %q until its deadline", e.Service)
-}
-
 // HealthObserver records what attempts show about backend servers.
 type HealthObserver interface {
 	Started(now time.Time, a table.Assignment)
@@ -50,215 +29,161 @@
 	Workers int
 
 	exchange *pool.Pool[table.Assignment]
+	// idle is closed when the dispatcher is closing and no request is open.
+	idle chan struct{}
 }
 
 // New returns a dispatcher over the tables that runs at most the given number of requests at the same time.
 func New(t *table.Tables, health HealthObserver, workers int) *Dispatcher {
-	d := &Dispatcher{Tables: t, Health: health, Workers: workers}
+	d := &Dispatcher{Tables: t, Health: health, Workers: workers, idle: make(chan struct{})}
 	// Assign never hands out more than one assignment for each worker, so the queue cannot fill.
 	d.exchange = pool.New("exchange", workers, workers, d.run)
 	return d
 }
 
-// Close waits until all requests in flight are settled. No request may be admitted after it.
+// Close takes no more requests, and waits until all admitted ones, those that wait among them, have their result.
 func (d *Dispatcher) Close() {
+	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		if !q.Closing {
+			q.Closing = true
+			d.closeIdle(q)
+		}
+	})
+	<-d.idle
 	d.exchange.Close()
 }
 
-// Admit puts the ticket into the queue of its service. It returns ServiceError if the service has no backend servers.
-// After a nil error the result arrives on the ticket's Done channel, unless Cancel returns true.
+func (d *Dispatcher) closeIdle(q *table.Queues) {
+	if q.Closing && q.Open == 0 {
+		close(d.idle)
+	}
+}
+
+// Admit puts the ticket into the queue of its service. It returns ServiceError if the service has no backend servers,
+// ClosingError, or admission.RefusedError if the request should not wait. After a nil error the result arrives on the
+// ticket's Done channel, unless Cancel returns true.
 func (d *Dispatcher) Admit(now time.Time, t *table.Ticket) error {
-	var known bool
-	d.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		known = len(b.Services[t.Service]) > 0
-	})
-	if !known {
+	if !d.known(t.Service) {
 		return ServiceError{Service: t.Service}
 	}
+	var displaced []*table.Ticket
+	var err error
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
-		enqueue(q, t)
+		displaced, err = admit(q, t, now)
 	})
+	for _, other := range displaced {
+		d.settle(other, unserved(now, other, admission.RefusedError{
+			Reason: admission.QueueFull, Rank: other.Rank, Tenant: other.Tenant, RetryAfter: d.retryAfter(other),
+		}))
+	}
+	if err != nil {
+		return err
+	}
 	d.assign(now, t.Service)
 	return nil
 }
 
-// Cancel takes a waiting ticket out of its queue. It returns false if the ticket does not wait any more; its result
-// arrives on the Done channel then.
-func (d *Dispatcher) Cancel(t *table.Ticket) bool {
-	var removed bool
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
-		queue, ok := q.Services[t.Service]
-		removed = ok && admission.Remove(queue, t.Rank, t.ID)
-	})
-	return removed
-}
-
-func enqueue(q *table.Queues, t *table.Ticket) {
-	queue, ok := q.Services[t.Service]
-	if !ok {
-		queue = &admission.Queue[*table.Ticket]{}
-		q.Services[t.Service] = queue
-	}
-	admission.Push(queue, admission.Item[*table.Ticket]{
-		ID: t.ID, Rank: t.Rank, Tenant: t.Tenant, Arrived: t.Arrived, Deadline: t.Deadline, Attempt: t.Attempt, Payload: t,
-	})
-}
-
-// assign hands waiting requests of the service to workers while there is a free worker and a backend server.
-func (d *Dispatcher) assign(now time.Time, service string) {
-	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
-		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
-			for d.assignOne(now, service, b, q) {
-				q.InFlight++
-			}
-		})
+func (d *Dispatcher) known(service string) bool {
+	var known bool
+	d.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		known = len(b.Services[service]) > 0
 	})
+	return known
 }
 
-func (d *Dispatcher) assignOne(now time.Time, service string, b *table.Backends, q *table.Queues) bool {
-	queue, ok := q.Services[service]
-	if !ok || q.InFlight >= d.Workers {
-		return false
+// admit enters the ticket, and returns those that it displaced from the queue.
+func admit(q *table.Queues, t *table.Ticket, now time.Time) ([]*table.Ticket, error) {
+	if q.Closing {
+		return nil, ClosingError{}
 	}
-	if !anyFree(b.Services[service], now) {
-		return false
+	u := usage(q, t.Tenant)
+	if err := admission.Enter(u, t.Limits, t.Tenant, now); err != nil {
+		countRefusal(q, t, err)
+		return nil, err
 	}
-	item, ok := admission.Next(queue, now)
-	if !ok {
-		return false
+	out, err := admission.Offer(queueOf(q, t.Service), item(t), now)
+	if err != nil {
+		admission.Leave(u)
+		countRefusal(q, t, err)
+		return nil, err
 	}
-	t := item.Payload
-	server := choose(b.Services[service], t, now)
-	server.Outstanding++
-	if detect.Out(&server.State) {
-		detect.StartTrial(&server.State, t.ID)
+	q.Open++
+	counts(q, t).Admitted++
+	displaced := make([]*table.Ticket, len(out))
+	for n, i := range out {
+		displaced[n] = i.Payload
+		counts(q, i.Payload).Displaced++
 	}
-	server.InFlight[t.ID] = table.InFlight{Started: now}
-	return d.exchange.TrySubmit(table.Assignment{Ticket: t, Server: server.Server}) == nil
+	return displaced, nil
 }
 
-// anyFree says whether any request can be assigned. Servers that only take trial requests do not count, because the next
-// request may not be idempotent.
-func anyFree(servers map[string]*table.Backend, now time.Time) bool {
-	for _, s := range servers {
-		if healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse && free(s) {
-			return true
+// Cancel takes a waiting ticket out of its queue. It returns false if the ticket does not wait any more; its result
+// arrives on the Done channel then.
+func (d *Dispatcher) Cancel(t *table.Ticket) bool {
+	var removed bool
+	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		queue, ok := q.Services[t.Service]
+		removed = ok && admission.Remove(queue, t.Rank, t.ID)
+		if removed {
+			counts(q, t).Abandoned++
+			d.leave(q, t, unsent(t))
 		}
-	}
-	return false
-}
-
-func free(s *table.Backend) bool {
-	return s.Outstanding < s.Server.Slots
+	})
+	return removed
 }
 
-// choose returns a server that is due for a trial request, or else the one with the fewest outstanding requests, and one
-// that was not tried if there is any.
-func choose(servers map[string]*table.Backend, t *table.Ticket, now time.Time) *table.Backend {
-	var best *table.Backend
-	for _, s := range servers {
-		if !free(s) {
-			continue
-		}
-		switch healthquery.UseOf(s, t.Idempotent, t.Attempt, now) {
-		case healthquery.TrialUse:
-			return s
-		case healthquery.NormalUse:
-			if best == nil || less(s, best, t.Tried) {
-				best = s
-			}
-		}
+// Abandoned returns the result of a ticket that was canceled while it waited.
+func Abandoned(t *table.Ticket) table.Result {
+	return table.Result{
+		Outcome: unsent(t), Evidence: fleet.Canceled, Attempts: t.Attempt, Err: endError(t.Context, t.Service),
 	}
-	return best
 }
 
-func less(a, b *table.Backend, tried []string) bool {
-	at, bt := contains(tried, a.Server.Address), contains(tried, b.Server.Address)
-	if at != bt {
-		return bt
+// unsent returns the outcome of a ticket that is not sent again. An earlier attempt may have run it.
+func unsent(t *table.Ticket) fleet.Outcome {
+	if t.MaybeRun {
+		return fleet.Unknown
 	}
-	return a.Outstanding < b.Outstanding
+	return fleet.NotRun
 }
 
-func contains(tried []string, address string) bool {
-	for _, a := range tried {
-		if a == address {
-			return true
-		}
+func item(t *table.Ticket) admission.Item[*table.Ticket] {
+	return admission.Item[*table.Ticket]{
+		ID: t.ID, Rank: t.Rank, Tenant: t.Tenant, Arrived: t.Arrived, Deadline: t.Deadline, Attempt: t.Attempt, Payload: t,
 	}
-	return false
 }
 
-// run is the job of an exchange worker: one attempt, from sending the request to settling its result.
-func (d *Dispatcher) run(a table.Assignment) {
-	t := a.Ticket
-	d.Health.Started(time.Now(), a)
-	r := t.Runner.Send(t.Context, a.Server)
-	d.Health.Responded(time.Now(), a, r)
-	if d.mayRetry(a, r) {
-		t.Runner.Discard()
-		d.Health.Observe(time.Now(), a, r)
-		d.release(a)
-		d.requeue(a, r)
-		return
-	}
-	if r.Response {
-		latency := r.Latency
-		r = t.Runner.Deliver(t.Context)
-		r.Latency = latency
-	} else {
-		t.Runner.Discard()
-		r.Outcome = retry.Outcome(attempt(a, r))
+func queueOf(q *table.Queues, service string) *admission.Queue[*table.Ticket] {
+	queue, ok := q.Services[service]
+	if !ok {
+		queue = &admission.Queue[*table.Ticket]{}
+		q.Services[service] = queue
 	}
-	d.Health.Observe(time.Now(), a, r)
-	d.release(a)
-	t.Done <- r
-	d.assign(time.Now(), t.Service)
+	return queue
 }
 
-func attempt(a table.Assignment, r table.Result) retry.Attempt {
-	return retry.Attempt{
-		Evidence:   r.Evidence,
-		Idempotent: a.Ticket.Idempotent,
-		Sent:       r.Sent,
-		MaybeRun:   a.Ticket.MaybeRun,
+func usage(q *table.Queues, tenant string) *admission.Usage {
+	u, ok := q.Tenants[tenant]
+	if !ok {
+		u = &admission.Usage{}
+		q.Tenants[tenant] = u
 	}
+	return u
 }
 
-// mayRetry allows no retry yet.
-func (d *Dispatcher) mayRetry(table.Assignment, table.Result) bool {
-	return false
-}
-
-func (d *Dispatcher) requeue(a table.Assignment, r table.Result) {
-	t := a.Ticket
-	t.Attempt++
-	t.Tried = append(t.Tried, a.Server.Address)
-	t.MaybeRun = t.MaybeRun || !retry.Refused(attempt(a, r))
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
-		enqueue(q, t)
-	})
-	d.assign(time.Now(), t.Service)
-}
-
-// release frees the slot of the backend server and the worker's place.
-func (d *Dispatcher) release(a table.Assignment) {
-	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
-		if s, ok := b.Services[a.Ticket.Service][a.Server.Address]; ok {
-			s.Outstanding--
-			delete(s.InFlight, a.Ticket.ID)
-		}
-		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
-			q.InFlight--
-		})
-	})
+func counts(q *table.Queues, t *table.Ticket) *table.Counts {
+	key := table.CountKey{Service: t.Service, Rank: t.Rank}
+	c, ok := q.Counts[key]
+	if !ok {
+		c = table.NewCounts()
+		q.Counts[key] = c
+	}
+	return c
 }
 
-// Abandoned returns the result of a ticket that was canceled while it waited.
-func Abandoned(t *table.Ticket) table.Result {
-	outcome := fleet.NotRun
-	if t.MaybeRun {
-		outcome = fleet.Unknown
+func countRefusal(q *table.Queues, t *table.Ticket, err error) {
+	var refused admission.RefusedError
+	if errors.As(err, &refused) {
+		counts(q, t).Refused[refused.Reason]++
 	}
-	return table.Result{Outcome: outcome, Evidence: fleet.Canceled, Err: ExpiredError{Service: t.Service}}
 }
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 )
@@ -33,6 +34,8 @@
 	Server      fleet.BackendServer
 	FirstSeen   time.Time
 	Outstanding int
+	// Limit bounds Outstanding. It is set when the first request is dispatched to the service.
+	Limit admission.Limit
 	// InFlight is keyed by ticket ID.
 	InFlight map[string]InFlight
 	State    detect.State
