--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -180,18 +180,6 @@
 	})
 }
 
-// slowLog holds back the reply of each read until release is closed.
-type slowLog struct {
-	configcmd.Log
-	release chan struct{}
-}
-
-func (l slowLog) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) (configcmd.Batch, error) {
-	batch, err := l.Log.Read(ctx, s, from, n, wait)
-	<-l.release
-	return batch, err
-}
-
 // observer records the revisions that are in force when it is called.
 type observer struct {
 	reader    *reader
