--- a/service/node/config.go
+++ b/service/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/member"
@@ -10,14 +11,12 @@
 )
 
 const (
-	// configPoll is how long one read of the log waits for a record.
-	configPoll = 4 * time.Second
-	// configRetry is the wait after a failed read of the log.
-	configRetry = time.Second
 	// hostListPeriod is the time between two fetches of the host list. Heartbeats report changes sooner.
 	hostListPeriod = 2 * time.Second
 	// peerConfigPeriod is the time between two comparisons with the revisions that other nodes announce.
 	peerConfigPeriod = time.Second
+	// snapshotPeriod is the time between two checks whether a snapshot is due. It is far below the hour after which one is.
+	snapshotPeriod = 10 * time.Second
 )
 
 func (n *Node) periodic() []*job {
@@ -25,26 +24,30 @@
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
+		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
 }
 
-// followConfig reads the log until the context ends, and brings the Backends table in line after each change.
-func (n *Node) followConfig(ctx context.Context) {
-	var revision int64 = -1
-	for ctx.Err() == nil {
-		err := n.follower.Poll(ctx, configPoll)
-		if c := n.Config.Current(); c != nil && c.Revision != revision {
-			revision = c.Revision
-			n.health.Sync(time.Now(), c)
-			n.refreshGroups(time.Now())
-			n.Log.Info().Int64("revision", revision).Msg("configuration is in force")
-		}
-		if err != nil && ctx.Err() == nil {
-			n.Log.Warn().Err(err).Msg("cannot read the configuration log; retrying")
-			wait(ctx, configRetry)
+// configObserver brings the other tables in line with a configuration that came into force.
+type configObserver struct {
+	node *Node
+	// revision is that of the configuration that was handled last.
+	revision atomic.Int64
+}
+
+// ConfigurationChanged implements configcmd.Observer. The log and a peer may deliver two revisions at the same time. The
+// one that finishes last finds the revision of the other and handles the newer one again.
+func (o *configObserver) ConfigurationChanged() {
+	for {
+		c := o.node.Config.Current()
+		if c == nil || c.Revision == o.revision.Load() {
+			return
 		}
+		o.node.health.Sync(time.Now(), c)
+		o.node.refreshGroups(time.Now())
+		o.revision.Store(c.Revision)
 	}
 }
 
@@ -52,6 +55,12 @@
 	n.follower.CheckPeers(ctx, time.Now())
 }
 
+func (n *Node) checkSnapshot(ctx context.Context) {
+	if err := n.snapshotter.Check(ctx, time.Now()); err != nil && ctx.Err() == nil {
+		n.Log.Warn().Err(err).Msg("cannot append a snapshot of the configuration; retrying")
+	}
+}
+
 func (n *Node) hostListJob() func(ctx context.Context) {
 	var previous hostlist.List
 	return func(ctx context.Context) {
@@ -68,12 +77,3 @@
 		n.health.AdoptHostList(time.Now(), list.BackendServersLeaving)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
