Replay recorded traces and report fresh evidence early

Cause: a change of detection could alter what known faults lead to without a test that shows it, and evidence waited up to a second for the next heartbeat. Change: egretline replay runs a recorded trace through detection and floor and compares it with a stated outcome; six traces lie under _fixtures/traces with outcomes for stall, flap, one-way partition, cold start, slow pool and noise. A node sends its heartbeats early, at most every 250 ms, while it has fresh evidence.

--- a/cmd/egretline/cmds/query/register.go
+++ b/cmd/egretline/cmds/query/register.go
@@ -14,6 +14,7 @@
 
 func all() []subcommands.Command {
 	return []subcommands.Command{
+		&replay{},
 		newCheck(),
 		&report{},
 		&show{},
--- /dev/null
+++ b/cmd/egretline/cmds/query/replay_test.go
@@ -0,0 +1,55 @@
+package query
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var traces = filepath.Join("..", "..", "..", "..", "_fixtures", "traces")
+
+// Guards against changes of detection or floor that alter what a recorded trace leads to.
+func TestReplayFixtures(t *testing.T) {
+	for _, name := range []string{"stall", "flap", "one-way-partition", "cold-start", "slow-pool", "healthy-noise"} {
+		t.Run(name, func(t *testing.T) {
+			m, err := replayFiles(filepath.Join(traces, name+".jsonl"), filepath.Join(traces, name+".outcome.json"))
+			is.New(t).NoErr(err)
+			assertDifferences(t, m, 0)
+		})
+	}
+}
+
+// Guards against a comparison that accepts any outcome.
+func TestReplayDiffers(t *testing.T) {
+	replayAs := func(t *testing.T, name, outcome string) replayed {
+		t.Helper()
+		m, err := replayFiles(filepath.Join(traces, name+".jsonl"), filepath.Join(traces, outcome+".outcome.json"))
+		is.New(t).NoErr(err)
+		return m
+	}
+	t.Run("a change that is not stated", func(t *testing.T) {
+		assertDifferences(t, replayAs(t, "stall", "healthy-noise"), 1)
+	})
+	t.Run("a stated change that does not happen", func(t *testing.T) {
+		assertDifferences(t, replayAs(t, "healthy-noise", "flap"), 3)
+	})
+	t.Run("a change of another kind", func(t *testing.T) {
+		assertDifferences(t, replayAs(t, "stall", "one-way-partition"), 1)
+	})
+	t.Run("printed in words", func(t *testing.T) {
+		var b strings.Builder
+		is := is.New(t)
+		is.NoErr(printReplay(&b, replayAs(t, "stall", "healthy-noise")))
+		is.True(strings.Contains(b.String(), "backend server 10.0.0.1:80 of service survey-vault was ejected"))
+		is.True(strings.HasSuffix(b.String(), ", 1 changes, 1 differences\n"))
+	})
+}
+
+func assertDifferences(t *testing.T, m replayed, want int) {
+	t.Helper()
+	if len(m.Differences) != want {
+		t.Errorf("%d differences, want %d: %s", len(m.Differences), want, strings.Join(m.Differences, "; "))
+	}
+}
--- a/pkg/healthquery/report.go
+++ b/pkg/healthquery/report.go
@@ -10,8 +10,8 @@
 	"egretline.example/egretline/pkg/table"
 )
 
-// ReportPeriod is the time between two reports to the group while a node has suspicions. It is part of the detection time,
-// which has a target of 2 s. Without suspicions the report goes with the regular heartbeat.
+// ReportPeriod is the least time between two reports to the group. Fresh evidence is reported before the next regular
+// heartbeat, because the wait is part of the detection time, which has a target of 2 s.
 const ReportPeriod = 250 * time.Millisecond
 
 // maxSuspicions bounds the size of a heartbeat. A node that suspects more servers at once reports the most suspected.
@@ -57,6 +57,28 @@
 	return r
 }
 
+// Fresh says whether there is evidence from the last ReportPeriod that the other members should hear of early.
+func (q *Queries) Fresh(now time.Time) bool {
+	var fresh bool
+	q.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for name, servers := range b.Services {
+			for _, s := range servers {
+				fresh = fresh || freshEvidence(s, b.Health[name], now)
+			}
+		}
+		fresh = fresh && !b.Isolated
+	})
+	return fresh
+}
+
+func freshEvidence(s *table.Backend, health *table.Health, now time.Time) bool {
+	if s.Leaving {
+		return s.LeavingReason != table.LeavingReported && now.Sub(s.LeavingSince) <= ReportPeriod
+	}
+	baseline := detect.Rest(health.Summary, &s.State, now)
+	return now.Sub(s.State.LastFailure) <= ReportPeriod && detect.Reportable(&s.State, baseline, now)
+}
+
 func appendLeaving(list []table.ServerKey, key table.ServerKey, s *table.Backend) []table.ServerKey {
 	if s.LeavingReason == table.LeavingReported || s.LeavingReason == table.LeavingRemoved {
 		return list
--- a/pkg/measure/health_detectors.go
+++ b/pkg/measure/health_detectors.go
@@ -55,7 +55,10 @@
 }
 
 // Report implements Reporter.
-func (m *Member) Report(member string, now time.Time) []trace.Event {
+func (m *Member) Report(member string, now time.Time, early time.Duration) []trace.Event {
+	if early > 0 && !m.fresh(now, early) {
+		return nil
+	}
 	var events []trace.Event
 	pool := m.Services[m.service]
 	for _, address := range slices.Sorted(maps.Keys(pool.Servers)) {
@@ -78,6 +81,17 @@
 	return events
 }
 
+func (m *Member) fresh(now time.Time, age time.Duration) bool {
+	pool := m.Services[m.service]
+	for _, server := range pool.Servers {
+		s := &server.State
+		if now.Sub(s.LastFailure) <= age && detect.Reportable(s, detect.Rest(pool.Summary, s, now), now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Baseline is a detector that each member runs for itself on the results of its own requests.
 type Baseline struct {
 	// Consecutive is the number of failures in a row that take a server out of use; zero for the windowed rate.
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -7,6 +7,7 @@
 
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/service/hostlist"
 )
 
@@ -25,6 +26,7 @@
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
 		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
+		{Name: "report", Every: healthquery.ReportPeriod, Run: n.reportEarly},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
--- a/service/node/health.go
+++ b/service/node/health.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// reportEarly is a periodic job that sends heartbeats ahead of time if there is fresh evidence.
+func (n *Node) reportEarly(ctx context.Context) {
+	if now := time.Now(); n.healthQuery.Fresh(now) {
+		n.sendHeartbeats(ctx, now)
+	}
+}
+
 // probe is a periodic job that probes the backend servers about which traffic gives no evidence.
 func (n *Node) probe(ctx context.Context) {
 	now := time.Now()
