--- /dev/null
+++ b/pkg/dispatchcmd/assert_test.go
@@ -0,0 +1,160 @@
+package dispatchcmd
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/table"
+)
+
+const service = "rental-desk"
+
+// runner is a fake request: it takes a time at each server and then has the result of the server.
+type runner struct {
+	Takes   map[string]time.Duration
+	Results map[string]table.Result
+	sent    []string
+}
+
+func (r *runner) Send(ctx context.Context, s fleet.BackendServer) table.Result {
+	r.sent = append(r.sent, s.Address)
+	takes, ok := r.Takes[s.Address]
+	if !ok {
+		takes = 100 * time.Millisecond
+	}
+	select {
+	case <-time.After(takes):
+	case <-ctx.Done():
+		return table.Result{Evidence: fleet.Failed, Sent: true, Err: ctx.Err()}
+	}
+	if result, ok := r.Results[s.Address]; ok {
+		return result
+	}
+	return table.Result{Evidence: fleet.Succeeded, Sent: true, Response: true, Status: 200}
+}
+
+func (r *runner) Deliver(context.Context) table.Result {
+	return table.Result{Outcome: fleet.Answered, Evidence: fleet.Succeeded, Sent: true, Response: true, Status: 200}
+}
+
+func (r *runner) Discard() {}
+
+// node is a dispatcher over servers with two slots each. Its ranks are urgent, with 0.7 of the slot time, and archive.
+type node struct {
+	*Dispatcher
+	next int
+}
+
+func newNode(workers, servers int) *node {
+	t := table.New(fleet.Host{ID: "self"}, "1")
+	c := &fleet.Configuration{
+		Ranks:    []fleet.Rank{{Name: "urgent", Share: 0.7}, {Name: "archive", Share: 0.3, SlotLimit: 0.5}},
+		Services: map[string]fleet.Service{},
+	}
+	s := fleet.Service{Name: service, GroupSize: 1, Floor: servers}
+	for n := range servers {
+		s.BackendServers = append(s.BackendServers, fleet.BackendServer{Address: fmt.Sprint("s", n), Slots: 2})
+	}
+	c.Services[service] = s
+	t.Config.Write(guard.Held{}, func(_ guard.Held, v *table.Config) { v.Compiled = c })
+	health := &healthcmd.Commands{Tables: t}
+	health.Sync(time.Now(), c)
+	return &node{Dispatcher: New(t, health, workers)}
+}
+
+// ticket returns a request of the tenant that stays good for the timeout.
+func (n *node) ticket(tenant string, timeout time.Duration, r *runner) *table.Ticket {
+	n.next++
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(timeout))
+	context.AfterFunc(ctx, cancel)
+	return &table.Ticket{
+		ID: fmt.Sprint(n.next), Service: service, Tenant: tenant, Idempotent: true, Arrived: now,
+		Deadline: now.Add(timeout), Context: ctx, Runner: r, Done: make(chan table.Result, 1),
+	}
+}
+
+// do admits the ticket and returns its result as the caller edge does.
+func (n *node) do(t *table.Ticket) table.Result {
+	if err := n.Admit(time.Now(), t); err != nil {
+		return table.Result{Outcome: fleet.NotRun, RetryAfter: RetryAfter(err), Err: err}
+	}
+	select {
+	case r := <-t.Done:
+		return r
+	case <-t.Context.Done():
+	}
+	if n.Cancel(t) {
+		return Abandoned(t)
+	}
+	return <-t.Done
+}
+
+// start runs do for each ticket and returns the results once all have ended.
+func (n *node) start(tickets ...*table.Ticket) func() []table.Result {
+	results := make([]table.Result, len(tickets))
+	done := make(chan struct{})
+	for k, t := range tickets {
+		go func() {
+			results[k] = n.do(t)
+			done <- struct{}{}
+		}()
+		synctest.Wait()
+	}
+	return func() []table.Result {
+		for range tickets {
+			<-done
+		}
+		return results
+	}
+}
+
+func outcomes(results []table.Result) map[fleet.Outcome]int {
+	m := map[fleet.Outcome]int{}
+	for _, r := range results {
+		m[r.Outcome]++
+	}
+	return m
+}
+
+// assertSettled fails if anything of the requests is left in the tables.
+func assertSettled(t *testing.T, n *node) {
+	t.Helper()
+	is := is.New(t)
+	n.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for _, s := range b.Services[service] {
+			is.Equal(s.Outstanding, 0)
+			is.Equal(len(s.InFlight), 0)
+		}
+	})
+	n.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		is.Equal(q.InFlight, 0)
+		is.Equal(q.Open, 0)
+		for _, u := range q.Tenants {
+			is.Equal(u.InFlight, 0)
+		}
+		for _, r := range q.Services[service].Ranks {
+			is.Equal(r.Held, 0)
+			is.Equal(r.Waiting, 0)
+		}
+	})
+}
+
+// trial runs a test in a synctest bubble and checks that the node has settled everything at its end.
+func trial(t *testing.T, workers, servers int, run func(*is.I, *node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := newNode(workers, servers)
+		run(is.New(t), n)
+		n.Close()
+		assertSettled(t, n)
+	})
+}
--- /dev/null
+++ b/pkg/dispatchcmd/dispatch_test.go
@@ -0,0 +1,191 @@
+package dispatchcmd
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/retry"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+func TestQueueing(t *testing.T) {
+	t.Run("urgent work overtakes waiting archives", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			var tickets []*table.Ticket
+			for range 6 {
+				tickets = append(tickets, n.ticket("a", time.Minute, &runner{}))
+				tickets[len(tickets)-1].Rank = 1
+			}
+			urgent := n.ticket("b", time.Minute, &runner{})
+			wait := n.start(append(tickets, urgent)...)
+			is.Equal(outcomes(wait())[fleet.Answered], 7)
+			is.Equal(urgent.Dispatched.Sub(urgent.Arrived), time.Duration(0)) // the slot limit keeps one slot free
+		})
+	})
+	t.Run("an overload is refused early with a wait", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			is.Equal(n.do(n.ticket("a", time.Second, &runner{})).Outcome, fleet.Answered)
+			var tickets []*table.Ticket
+			for range 60 {
+				tickets = append(tickets, n.ticket("a", time.Second, &runner{}))
+			}
+			results := n.start(tickets...)()
+			is.True(outcomes(results)[fleet.Answered] >= 14) // two slots, 100 ms each, for most of a second
+			for _, r := range results {
+				is.True(r.Outcome != fleet.Unknown) // nothing is dispatched only to run into its deadline
+				if r.Outcome == fleet.NotRun {
+					is.True(r.RetryAfter >= time.Second)
+				}
+			}
+		})
+	})
+	t.Run("a deadline that passes in the queue gives not run", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			slow := map[string]time.Duration{"s0": 10 * time.Second}
+			wait := n.start(
+				n.ticket("a", time.Minute, &runner{Takes: slow}), n.ticket("a", time.Minute, &runner{Takes: slow}),
+				n.ticket("a", time.Second, &runner{}),
+			)
+			results := wait()
+			is.Equal(results[2].Outcome, fleet.NotRun)
+			is.True(errors.As(results[2].Err, &ExpiredError{}))
+			is.Equal(outcomes(results)[fleet.Answered], 2)
+		})
+	})
+	t.Run("a canceled caller leaves the queue and is never dispatched", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			canceled := n.ticket("a", time.Minute, &runner{})
+			ctx, cancel := context.WithCancel(canceled.Context)
+			canceled.Context = ctx
+			wait := n.start(n.ticket("a", time.Minute, &runner{}), n.ticket("a", time.Minute, &runner{}), canceled)
+			cancel()
+			results := wait()
+			is.True(errors.As(results[2].Err, &AbandonedError{}))
+			is.Equal(len(canceled.Runner.(*runner).sent), 0)
+		})
+	})
+	t.Run("a tenant over its limit is refused and the others are not", func(t *testing.T) {
+		trial(t, 8, 4, func(is *is.I, n *node) {
+			one, two, other := n.ticket("a", time.Second, &runner{}), n.ticket("a", time.Second, &runner{}), n.ticket("b", time.Second, &runner{})
+			for _, t := range []*table.Ticket{one, two, other} {
+				t.Limits.InFlight = 1
+			}
+			results := n.start(one, two, other)()
+			is.Equal(outcomes(results), map[fleet.Outcome]int{fleet.Answered: 2, fleet.NotRun: 1})
+			is.True(errors.As(results[1].Err, &admission.RefusedError{}))
+		})
+	})
+}
+
+func TestAttempts(t *testing.T) {
+	failed := table.Result{Evidence: fleet.Failed, Sent: true, Err: context.DeadlineExceeded}
+	everywhere := func(r table.Result) map[string]table.Result {
+		return map[string]table.Result{"s0": r, "s1": r, "s2": r}
+	}
+	t.Run("a retry goes to another server", func(t *testing.T) {
+		trial(t, 8, 3, func(is *is.I, n *node) {
+			r := &runner{Results: everywhere(failed)}
+			result := n.do(n.ticket("a", time.Minute, r))
+			is.Equal(result.Outcome, fleet.Unknown)
+			is.True(len(r.sent) > 2)
+			for k := range r.sent[1:] {
+				is.True(r.sent[k] != r.sent[k+1])
+			}
+		})
+	})
+	t.Run("the retry budget runs out", func(t *testing.T) {
+		trial(t, 8, 3, func(is *is.I, n *node) {
+			sent := 0
+			for range 20 {
+				r := &runner{Results: everywhere(failed)}
+				n.do(n.ticket("a", time.Minute, r))
+				sent += len(r.sent)
+			}
+			is.True(sent <= 20+int(retry.BudgetCap)+2) // 20 first attempts, the cap, and a tenth of 20
+			is.True(sent >= 20+int(retry.BudgetCap))   // the budget is used
+		})
+	})
+	t.Run("a request that is not idempotent is sent once unless the server refuses it", func(t *testing.T) {
+		shed := table.Result{Evidence: fleet.Shed, Sent: true, Err: context.DeadlineExceeded}
+		for name, c := range map[string]struct {
+			result  table.Result
+			once    bool
+			outcome fleet.Outcome
+		}{
+			"failed": {failed, true, fleet.Unknown},
+			"shed":   {shed, false, fleet.NotRun},
+		} {
+			t.Run(name, func(t *testing.T) {
+				trial(t, 8, 3, func(is *is.I, n *node) {
+					r := &runner{Results: everywhere(c.result)}
+					ticket := n.ticket("a", time.Minute, r)
+					ticket.Idempotent = false
+					is.Equal(n.do(ticket).Outcome, c.outcome)
+					is.Equal(len(r.sent) == 1, c.once)
+				})
+			})
+		}
+	})
+	t.Run("requests to a stalled server end at their deadline and leave the others alone", func(t *testing.T) {
+		trial(t, 16, 3, func(is *is.I, n *node) {
+			stalled := map[string]time.Duration{"s0": time.Hour}
+			var tickets []*table.Ticket
+			for range 6 {
+				tickets = append(tickets, n.ticket("a", 2*time.Second, &runner{Takes: stalled}))
+			}
+			results := n.start(tickets...)()
+			is.Equal(outcomes(results), map[fleet.Outcome]int{fleet.Answered: 4, fleet.Unknown: 2})
+		})
+	})
+	t.Run("the limit falls with sheds and the work goes elsewhere", func(t *testing.T) {
+		trial(t, 8, 2, func(is *is.I, n *node) {
+			r := &runner{Results: map[string]table.Result{"s0": {Evidence: fleet.Shed, Sent: true, Err: context.Canceled}}}
+			for range 10 {
+				is.Equal(n.do(n.ticket("a", time.Minute, r)).Outcome, fleet.Answered)
+			}
+			n.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+				is.True(b.Services[service]["s0"].Limit.Value < 2)
+			})
+		})
+	})
+}
+
+func TestWorkers(t *testing.T) {
+	t.Run("no more requests run at once than there are workers", func(t *testing.T) {
+		trial(t, 2, 4, func(is *is.I, n *node) {
+			var tickets []*table.Ticket
+			for range 8 {
+				tickets = append(tickets, n.ticket("a", time.Minute, &runner{}))
+			}
+			begin := time.Now()
+			is.Equal(outcomes(n.start(tickets...)())[fleet.Answered], 8)
+			is.Equal(time.Since(begin), 400*time.Millisecond) // 8 requests of 100 ms on 2 workers
+		})
+	})
+	t.Run("close completes what waits and what runs, and admits nothing more", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			var tickets []*table.Ticket
+			for range 5 {
+				tickets = append(tickets, n.ticket("a", time.Minute, &runner{}))
+			}
+			wait := n.start(tickets...)
+			closed := make(chan struct{})
+			go func() {
+				n.Close()
+				close(closed)
+			}()
+			synctest.Wait()
+			is.True(errors.As(n.do(n.ticket("a", time.Minute, &runner{})).Err, &ClosingError{}))
+			is.Equal(outcomes(wait())[fleet.Answered], 5)
+			<-closed
+		})
+	})
+}
--- /dev/null
+++ b/pkg/table/queues.go
@@ -0,0 +1,64 @@
+package table
+
+import (
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/retry"
+)
+
+// Queues is the waiting work by service, the use by tenants, and the number of requests that workers hold.
+type Queues struct {
+	Services map[string]*admission.Queue[*Ticket]
+	// Tenants is keyed by tenant name and holds the tenants that used the node lately.
+	Tenants map[string]*admission.Usage
+	// InFlight is the number of requests that workers hold.
+	InFlight int
+	// Open is the number of requests that were admitted and have no result yet.
+	Open int
+	// Closing says that no more requests are admitted.
+	Closing bool
+	Counts  map[CountKey]*Counts
+}
+
+// CountKey names the requests that are counted together.
+type CountKey struct {
+	Service string
+	Rank    int
+}
+
+// Counts counts what became of requests since the node started.
+type Counts struct {
+	Admitted int64
+	// Refused counts requests that were turned away on arrival.
+	Refused map[admission.Reason]int64
+	// Displaced counts waiting requests that made room for those of another tenant.
+	Displaced int64
+	// Late counts waiting requests that could not meet their deadline any more.
+	Late int64
+	// Abandoned counts waiting requests that their callers gave up, or whose deadline passed.
+	Abandoned int64
+	Attempts  int64
+	Retries   int64
+	// Ended counts failed attempts that were not retried, by reason.
+	Ended    map[retry.Reason]int64
+	Answered int64
+	NotRun   int64
+	Unknown  int64
+}
+
+// Budgets is the retry budget of each service.
+type Budgets struct {
+	Services map[string]*retry.Budget
+}
+
+func newQueues() Queues {
+	return Queues{
+		Services: map[string]*admission.Queue[*Ticket]{},
+		Tenants:  map[string]*admission.Usage{},
+		Counts:   map[CountKey]*Counts{},
+	}
+}
+
+// NewCounts returns counts of zero.
+func NewCounts() *Counts {
+	return &Counts{Refused: map[admission.Reason]int64{}, Ended: map[retry.Reason]int64{}}
+}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -6,8 +6,8 @@
 	"context"
 	"time"
 
-	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/fold"
+	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 )
@@ -31,6 +31,7 @@
 	Queues   *guard.Guard[Queues]
 	Keys     *guard.Guard[Keys]
 	Traffic  *guard.Guard[Traffic]
+	Budgets  *guard.Guard[Budgets]
 }
 
 // New returns empty tables for the node on the given host.
@@ -39,9 +40,10 @@
 		Config:   guard.New(RankConfig, Config{}),
 		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
 		Backends: guard.New(RankBackends, newBackends()),
-		Queues:   guard.New(RankQueues, Queues{Services: map[string]*admission.Queue[*Ticket]{}}),
+		Queues:   guard.New(RankQueues, newQueues()),
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
+		Budgets:  guard.New(RankBudgets, Budgets{Services: map[string]*retry.Budget{}}),
 	}
 }
 
@@ -67,19 +69,15 @@
 	Problem *fleet.Problem
 }
 
-// Queues is the waiting work by service, and the number of requests that workers hold.
-type Queues struct {
-	Services map[string]*admission.Queue[*Ticket]
-	InFlight int
-}
-
 // Ticket is one request on its way through the node.
 type Ticket struct {
-	ID         string
-	Service    string
-	Route      string
-	Rank       int
-	Tenant     string
+	ID      string
+	Service string
+	Route   string
+	Rank    int
+	Tenant  string
+	// Limits are those of the tenant.
+	Limits     fleet.Limits
 	Idempotent bool
 	Arrived    time.Time
 	Deadline   time.Time
@@ -89,7 +87,9 @@
 	// Done receives the result once, after the last attempt.
 	Done chan Result
 
-	Attempt int
+	// Dispatched is the time of the first attempt; zero before it.
+	Dispatched time.Time
+	Attempt    int
 	// Tried lists the addresses of earlier attempts.
 	Tried []string
 	// MaybeRun says that an earlier attempt may have run the request.
@@ -126,7 +126,11 @@
 	Status int
 	// RetryAfter is the wait that the caller should keep before it sends the request again; zero if none is known.
 	RetryAfter time.Duration
-	Err        error
+	// Attempts is the number of attempts, Address the backend server of the last one, and Waited the time before the first.
+	Attempts int
+	Address  string
+	Waited   time.Duration
+	Err      error
 }
 
 // Assignment is a ticket and the backend server that it goes to.
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/pkg/configquery"
+	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -190,11 +191,12 @@
 	exchange.Deadline = q.Arrived.Add(q.Timeout)
 	t := &table.Ticket{
 		ID: q.ID, Service: q.Route.Service, Route: q.Route.Name, Rank: max(q.Rank, 0), Tenant: q.Tenant.Name,
+		Limits:     q.Tenant.Limits,
 		Idempotent: q.Route.Idempotent, Arrived: q.Arrived, Deadline: exchange.Deadline, Context: ctx,
 		Runner: exchange, Done: make(chan table.Result, 1),
 	}
 	if err := h.Dispatcher.Admit(q.Arrived, t); err != nil {
-		return table.Result{Outcome: fleet.NotRun, Err: err}
+		return table.Result{Outcome: fleet.NotRun, RetryAfter: dispatchcmd.RetryAfter(err), Err: err}
 	}
 	select {
 	case result := <-t.Done:
@@ -259,7 +261,10 @@
 
 func refusalStatus(result table.Result) int {
 	var s statusError
+	var refused admission.RefusedError
 	switch {
+	case errors.As(result.Err, &refused) && refused.Reason.OfTenant():
+		return http.StatusTooManyRequests
 	case errors.As(result.Err, &s):
 		return s.HTTPStatus()
 	case result.Outcome == fleet.Unknown:
@@ -295,5 +300,8 @@
 		Str("outcome", string(result.Outcome)).
 		Int("status", result.Status).
 		Dur("duration-ms", time.Since(q.Arrived)).
+		Dur("wait-ms", result.Waited).
+		Int("attempts", result.Attempts).
+		Str("backend-server", result.Address).
 		Msg("request finished")
 }
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -7,6 +7,7 @@
 
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/service/hostlist"
 )
 
@@ -24,8 +25,9 @@
 		{Name: "host-list", Every: hostListPeriod, Run: n.hostListJob()},
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
-		{Name: "certificates", Every: certificatePeriod, Run: n.reloadCertificates},
 		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
+		{Name: "certificates", Every: certificatePeriod, Run: n.reloadCertificates},
+		{Name: "report", Every: healthquery.ReportPeriod, Run: n.reportEarly},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
--- a/service/node/health.go
+++ b/service/node/health.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// sweep is a periodic job that ejects and readmits backend servers.
+// sweep is a periodic job that ejects and readmits backend servers, and then assigns requests that waited for them.
 func (n *Node) sweep(context.Context) {
 	s := n.health.Sweep(time.Now())
+	n.Dispatcher.Sweep(time.Now())
 	if s.Paused {
 		n.Log.Warn().Msg("node was paused; ages of requests in flight are discarded")
 	}
@@ -66,6 +67,13 @@
 	}
 }
 
+// reportEarly is a periodic job that sends heartbeats ahead of time if there is fresh evidence.
+func (n *Node) reportEarly(ctx context.Context) {
+	if now := time.Now(); n.healthQuery.Fresh(now) {
+		n.sendHeartbeats(ctx, now)
+	}
+}
+
 // probe is a periodic job that probes the backend servers about which traffic gives no evidence.
 func (n *Node) probe(ctx context.Context) {
 	now := time.Now()
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -138,10 +138,10 @@
 	}
 	n.jobs = newScheduler(s.ControlWorkers, n.periodic())
 	n.servers = servers
-	n.certificates = loaded
-	n.peers = &peer.Client{Transport: loaded.peerTransport()}
 	n.snapshotter = configcmd.NewSnapshotter(n.follower, n.Members, fold.SnapshotPolicy{}, log)
 	n.follower.Observer = &configObserver{node: n}
+	n.certificates = loaded
+	n.peers = &peer.Client{Transport: loaded.peerTransport()}
 	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
 	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
 	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
