Move the certificate authority of tests to a stand-in

Cause: tests of the node need certificates too. Change: pkg/standin/authority, used by the tests of service/tlsfiles. Result: go test -race ./service/tlsfiles passes.

--- a/service/tlsfiles/tlsfiles_test.go
+++ b/service/tlsfiles/tlsfiles_test.go
@@ -2,74 +2,29 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"errors"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-)
-
-// authority signs certificates of tests.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
 
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	is.NoErr(err)
-	certificate, err := x509.ParseCertificate(der)
-	is.NoErr(err)
-	return authority{certificate: certificate, key: key}
-}
+	"egretline.example/egretline/pkg/standin/authority"
+)
 
-// write writes a certificate for 127.0.0.1 with the serial number, its key and the authority to the directory.
-func (a authority) write(t *testing.T, dir string, serial int64) Files {
+func newAuthority(t *testing.T) *authority.Authority {
 	t.Helper()
-	is := is.New(t)
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	is.NoErr(err)
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	is.NoErr(err)
-	f := Files{
-		Certificate: filepath.Join(dir, "certificate.pem"), Key: filepath.Join(dir, "key.pem"),
-		Authority: filepath.Join(dir, "authority.pem"),
-	}
-	writePEM(t, f.Certificate, "CERTIFICATE", der)
-	writePEM(t, f.Key, "EC PRIVATE KEY", keyDER)
-	writePEM(t, f.Authority, "CERTIFICATE", a.certificate.Raw)
-	return f
+	a, err := authority.New()
+	is.New(t).NoErr(err)
+	return a
 }
 
-func writePEM(t *testing.T, path, kind string, der []byte) {
+func write(t *testing.T, a *authority.Authority, dir string, serial int64) Files {
 	t.Helper()
-	is.New(t).NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	p, err := a.Write(dir, serial)
+	is.New(t).NoErr(err)
+	return Files(p)
 }
 
 // listen accepts connections, and reports the result of each handshake.
@@ -114,19 +69,19 @@
 
 func TestMutualTLS(t *testing.T) {
 	ours := newAuthority(t)
-	server := newSource(t, ours.write(t, t.TempDir(), 2))
+	server := newSource(t, write(t, ours, t.TempDir(), 2))
 	address, handshakes := listen(t, server)
 
 	t.Run("a certificate of the authority is accepted", func(t *testing.T) {
-		assertHandshake(t, newSource(t, ours.write(t, t.TempDir(), 3)), address, handshakes, true)
+		assertHandshake(t, newSource(t, write(t, ours, t.TempDir(), 3)), address, handshakes, true)
 	})
 	t.Run("a certificate of another authority is refused", func(t *testing.T) {
-		other := newAuthority(t).write(t, t.TempDir(), 4)
+		other := write(t, newAuthority(t), t.TempDir(), 4)
 		other.Authority = server.files.Authority
 		assertHandshake(t, newSource(t, other), address, handshakes, false)
 	})
 	t.Run("a server of another authority is refused", func(t *testing.T) {
-		foreign, foreignHandshakes := listen(t, newSource(t, newAuthority(t).write(t, t.TempDir(), 5)))
+		foreign, foreignHandshakes := listen(t, newSource(t, write(t, newAuthority(t), t.TempDir(), 5)))
 		assertHandshake(t, server, foreign, foreignHandshakes, false)
 	})
 }
@@ -135,7 +90,7 @@
 func TestReload(t *testing.T) {
 	dir := t.TempDir()
 	ours := newAuthority(t)
-	s := newSource(t, ours.write(t, dir, 10))
+	s := newSource(t, write(t, ours, dir, 10))
 	address, handshakes := listen(t, s)
 
 	t.Run("unchanged files change nothing", func(t *testing.T) {
@@ -148,7 +103,7 @@
 	})
 	t.Run("new connections get the new certificate", func(t *testing.T) {
 		is := is.New(t)
-		ours.write(t, dir, 11)
+		write(t, ours, dir, 11)
 		changed, err := s.Reload()
 		is.NoErr(err)
 		is.True(changed)
@@ -167,7 +122,7 @@
 		is.New(t).True(errors.As(err, &FileError{}))
 	})
 	t.Run("an authority without certificates is reported", func(t *testing.T) {
-		f := ours.write(t, t.TempDir(), 12)
+		f := write(t, ours, t.TempDir(), 12)
 		f.Authority = f.Key
 		_, err := New(f)
 		is.New(t).True(errors.As(err, &NoCertificateError{}))
