--- a/service/node/fleet_test.go
+++ b/service/node/fleet_test.go
@@ -19,6 +19,7 @@
 	"egretline.example/egretline/pkg/configrecord"
 	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/settings"
+	"egretline.example/egretline/pkg/standin/authority"
 	"egretline.example/egretline/pkg/standin/backendservice"
 	"egretline.example/egretline/pkg/standin/hostservice"
 	"egretline.example/egretline/pkg/standin/logservice"
@@ -38,6 +39,8 @@
 	Nodes    []*Node
 	// GroupSize is the group size of the service in the configuration.
 	GroupSize int
+	// Certificates is used between nodes; the zero value stands for plain TCP.
+	Certificates authority.Paths
 
 	logURL  string
 	hostURL string
@@ -81,6 +84,7 @@
 		CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 		LogURL: f.logURL, HostListURL: f.hostURL,
 		MaxConnections: 64, ExchangeWorkers: 64, ForwardWorkers: 16, ControlWorkers: 4,
+		PeerCertificate: f.Certificates.Certificate, PeerKey: f.Certificates.Key, PeerAuthority: f.Certificates.Authority,
 		EntryTTL:   settings.Duration{Duration: time.Millisecond},
 		DrainGrace: settings.Duration{Duration: 10 * time.Millisecond},
 	}, zerolog.Nop())
