Start from peers without an announced revision

Cause: a new node is in no service group, may get no heartbeats, and so never heard of a revision to fetch while the log was unavailable. Change: a node without a configuration always asks its peers. Result: the new subtest of pkg/configcmd panics on a nil configuration without the change, and passes with it.

--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -94,6 +94,15 @@
 		r.Follower.CheckPeers(context.Background(), time.Now().Add(2*time.Second))
 		is.Equal(r.Query.Current().Revision, int64(1))
 	})
+	bubble(t, "a new node that gets no heartbeats starts from peers while the log is unavailable", false, func(t *testing.T, w *world) {
+		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
+		w.service.SetFaults(logservice.Faults{Hang: true})
+		r := w.newReader()
+		r.Follower.Peers = silentPeers{Peers: w}
+		r.Follower.CheckPeers(context.Background(), time.Now())
+		r.Follower.CheckPeers(context.Background(), time.Now().Add(2*time.Second))
+		is.New(t).Equal(r.Query.Current().Revision, int64(1))
+	})
 	bubble(t, "a node that can join nothing stays without configuration", false, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
@@ -180,6 +189,13 @@
 	})
 }
 
+// silentPeers announces no revision.
+type silentPeers struct {
+	configcmd.Peers
+}
+
+func (silentPeers) HighestRevision() int64 { return 0 }
+
 // observer records the revisions that are in force when it is called.
 type observer struct {
 	reader    *reader
--- a/pkg/configcmd/peers.go
+++ b/pkg/configcmd/peers.go
@@ -22,7 +22,8 @@
 }
 
 // CheckPeers fetches the state of peers if one of them announced a higher revision that the log did not deliver. It is a
-// periodic job, and covers a node that starts during an outage of the log or that alone cannot reach it.
+// periodic job, and covers a node that starts during an outage of the log or that alone cannot reach it. A node without a
+// configuration always asks, because it is in no service group yet and may get no heartbeats.
 func (f *Follower) CheckPeers(ctx context.Context, now time.Time) {
 	if f.Peers == nil {
 		return
@@ -31,7 +32,7 @@
 	due := false
 	f.Config.Write(guard.Held{}, func(_ guard.Held, c *table.Config) {
 		switch {
-		case announced <= c.Fold.Revision:
+		case announced <= c.Fold.Revision && c.Fold.Revision > 0:
 			c.BehindSince = time.Time{}
 		case c.BehindSince.IsZero():
 			c.BehindSince = now
