--- a/pkg/decide/group/group_test.go
+++ b/pkg/decide/group/group_test.go
@@ -93,7 +93,7 @@
 			size = DefaultSize
 		}
 		spare := min(len(rest), max(0, size-len(first)))
-		if want := append(first, rest[:spare]...); !slices.Equal(Members(s, hosts), want) {
+		if want := slices.Concat(first, rest[:spare]); !slices.Equal(Members(s, hosts), want) {
 			t.Fatalf("members %v, want %v", Members(s, hosts), want)
 		}
 	})
