--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,17 @@
 GOLANGCI_LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: all build fmt lint test
+.PHONY: all build demo fmt lint test
 
 all: build
 
 build:
 	go build -o bin/ ./cmd/...
 
+# Runs a fleet on loopback under load and faults, and checks its promises.
+demo:
+	_scripts/demo.sh
+
 fmt:
 	$(GOLANGCI_LINT) fmt
 
--- a/cmd/egretline/cmds/command/load.go
+++ b/cmd/egretline/cmds/command/load.go
@@ -40,6 +40,7 @@
 	html     string
 	requests string
 	output   string
+	nodes    []string
 }
 
 func (*loadCommand) Name() string { return "load" }
@@ -47,7 +48,7 @@
 	return "send the requests of an experiment file to a running fleet"
 }
 func (*loadCommand) Usage() string {
-	return `load [--report FILE] [--html FILE] [--requests FILE] [--output text|json] EXPERIMENT:
+	return `load [--node IP:port ...] [--report FILE] [--html FILE] [--requests FILE] [--output text|json] EXPERIMENT:
   Send an open-loop load: requests leave at their intended times whether or not earlier ones have finished, and latency
   counts from the intended time. SIGINT ends the experiment early with a report.
   Exit codes: 0 done; 1 a file could not be written; 2 wrong usage; 3 the experiment file cannot be used;
@@ -59,6 +60,10 @@
 	f.StringVar(&l.json, "report", "", "file for the JSON report, which the query report renders again")
 	f.StringVar(&l.html, "html", "", "file for the HTML report with plots")
 	f.StringVar(&l.requests, "requests", "", "file for one JSON line for each request")
+	f.Func("node", "caller address IP:port of a node, in place of those in the file; may be repeated", func(a string) error {
+		l.nodes = append(l.nodes, a)
+		return nil
+	})
 	f.StringVar(&l.output, "output", "text", "format of the report on standard output: text or json")
 }
 
@@ -72,6 +77,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitLoadBadFile
 	}
+	if len(l.nodes) > 0 {
+		e.Nodes = l.nodes
+	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := l.run(ctx, e)
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"net/http/pprof"
 
-	"egretline.example/egretline/service/operatorcmd"
 	"egretline.example/egretline/pkg/trafficquery"
+	"egretline.example/egretline/service/operatorcmd"
 	"egretline.example/egretline/service/operatorquery"
 )
 
--- a/test/fleetproc/fleet.go
+++ b/test/fleetproc/fleet.go
@@ -74,10 +74,11 @@
 
 // Standin starts a subcommand of egretline-standin.
 func (f *Fleet) Standin(name string, args ...string) (*Process, error) {
-	return f.start(name, "egretline-standin", args...)
+	return f.Program(name, "egretline-standin", args...)
 }
 
-func (f *Fleet) start(name, program string, args ...string) (*Process, error) {
+// Program starts one of the built programs.
+func (f *Fleet) Program(name, program string, args ...string) (*Process, error) {
 	p, err := Start(f.Directory, name, filepath.Join(f.Bin, program), args...)
 	if err == nil {
 		f.processes = append(f.processes, p)
@@ -116,7 +117,7 @@
 	if err := f.send(ctx, http.MethodPut, f.HostsURL+"/hosts/"+id, host); err != nil {
 		return nil, err
 	}
-	p, err := f.start(id, "egretline", "serve", "--settings", path)
+	p, err := f.Program(id, "egretline", "serve", "--settings", path)
 	if err != nil {
 		return nil, err
 	}
