--- /dev/null
+++ b/pkg/decide/admission/choose.go
@@ -0,0 +1,64 @@
+package admission
+
+import (
+	"hash/fnv"
+	"slices"
+)
+
+// Server is a backend server as a candidate for a request.
+type Server struct {
+	Address     string
+	Outstanding int
+	Limit       Limit
+	// Trial says that the server is out of use and due for a trial request.
+	Trial bool
+}
+
+// Free says that one more request may go to the server.
+func Free(s Server) bool {
+	return s.Limit.Allows(s.Outstanding)
+}
+
+// Choose returns the index of the server for a request, or -1 if it has to wait. A server that is due for a trial goes
+// first; the caller leaves it out for requests that cannot be one. Otherwise it is the free server with the fewest
+// outstanding requests, one that was not tried if there is any. The server of the last attempt is chosen only if it is
+// the only one. Ties are broken by a hash of request and address, because the nodes of a group would otherwise favor the
+// same servers.
+func Choose(servers []Server, request string, tried []string) int {
+	best := -1
+	for n, s := range servers {
+		if !Free(s) || len(servers) > 1 && last(tried) == s.Address {
+			continue
+		}
+		if s.Trial {
+			return n
+		}
+		if best < 0 || before(s, servers[best], request, tried) {
+			best = n
+		}
+	}
+	return best
+}
+
+func last(tried []string) string {
+	if len(tried) == 0 {
+		return ""
+	}
+	return tried[len(tried)-1]
+}
+
+func before(a, b Server, request string, tried []string) bool {
+	if at, bt := slices.Contains(tried, a.Address), slices.Contains(tried, b.Address); at != bt {
+		return bt
+	}
+	if a.Outstanding != b.Outstanding {
+		return a.Outstanding < b.Outstanding
+	}
+	return tie(request, a.Address) < tie(request, b.Address)
+}
+
+func tie(request, address string) uint64 {
+	f := fnv.New64a()
+	_, _ = f.Write([]byte(address + "\x00" + request))
+	return f.Sum64()
+}
--- /dev/null
+++ b/pkg/dispatchcmd/assign.go
@@ -0,0 +1,158 @@
+package dispatchcmd
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/detect"
+	"egretline.example/egretline/pkg/decide/group"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthquery"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Sweep assigns waiting requests of all services, for which a backend server may have come back into use, and ends those
+// that cannot meet their deadline. It drops the accounts of tenants that have been idle.
+func (d *Dispatcher) Sweep(now time.Time) {
+	d.dropIdle(now)
+	d.assignAll(now)
+}
+
+func (d *Dispatcher) dropIdle(now time.Time) {
+	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		for name, u := range q.Tenants {
+			if admission.Idle(u, now) {
+				delete(q.Tenants, name)
+			}
+		}
+	})
+}
+
+func (d *Dispatcher) assignAll(now time.Time) {
+	var services []string
+	d.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		for name, queue := range q.Services {
+			if admission.Waiting(queue) > 0 {
+				services = append(services, name)
+			}
+		}
+	})
+	for _, name := range services {
+		d.assign(now, name)
+	}
+}
+
+func (d *Dispatcher) configuration() *fleet.Configuration {
+	var c *fleet.Configuration
+	d.Tables.Config.Read(guard.Held{}, func(_ guard.Held, v *table.Config) { c = v.Compiled })
+	return c
+}
+
+// assign hands waiting requests of the service to workers while there is a free worker and a backend server.
+func (d *Dispatcher) assign(now time.Time, service string) {
+	var ranks []fleet.Rank
+	size := group.DefaultSize
+	if c := d.configuration(); c != nil {
+		ranks = c.Ranks
+		size = cmp.Or(c.Services[service].GroupSize, size)
+	}
+	var late []*table.Ticket
+	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
+		servers := b.Services[service]
+		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
+			queue, ok := q.Services[service]
+			if !ok {
+				return
+			}
+			admission.Configure(queue, ranks, setLimits(servers, size, now))
+			for d.assignOne(now, servers, q, queue, &late) {
+				q.InFlight++
+			}
+		})
+	})
+	for _, t := range late {
+		d.settle(t, unserved(now, t, admission.RefusedError{
+			Reason: admission.DeadlineTooClose, Rank: t.Rank, Tenant: t.Tenant, RetryAfter: d.retryAfter(t),
+		}))
+	}
+}
+
+// setLimits gives servers their first limit, and returns the sum of the limits of those in use.
+func setLimits(servers map[string]*table.Backend, size int, now time.Time) int {
+	slots := 0
+	for _, s := range servers {
+		if s.Limit.Slots != s.Server.Slots {
+			s.Limit = admission.NewLimit(s.Server.Slots, size)
+		}
+		if healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse {
+			slots += s.Limit.Max()
+		}
+	}
+	return slots
+}
+
+func (d *Dispatcher) assignOne(
+	now time.Time, servers map[string]*table.Backend, q *table.Queues, queue *admission.Queue[*table.Ticket],
+	late *[]*table.Ticket,
+) bool {
+	if q.InFlight >= d.Workers || !anyFree(servers, now) {
+		return false
+	}
+	var chosen *table.Backend
+	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
+		chosen = choose(servers, i.Payload, now)
+		return chosen != nil
+	})
+	for _, i := range picked.Late {
+		counts(q, i.Payload).Late++
+		*late = append(*late, i.Payload)
+	}
+	if !picked.Found {
+		return false
+	}
+	t := picked.Item.Payload
+	if t.Attempt == 0 {
+		t.Dispatched = now
+	}
+	counts(q, t).Attempts++
+	chosen.Outstanding++
+	if detect.Out(&chosen.State) {
+		detect.StartTrial(&chosen.State, t.ID)
+	}
+	chosen.InFlight[t.ID] = table.InFlight{Started: now}
+	// The pool has room for every worker and closes only once no request is open, so that it takes the assignment.
+	return d.exchange.TrySubmit(table.Assignment{Ticket: t, Server: chosen.Server}) == nil
+}
+
+// anyFree says whether some request could be assigned. It saves looking at the waiting requests one by one.
+func anyFree(servers map[string]*table.Backend, now time.Time) bool {
+	for _, s := range servers {
+		if s.Limit.Allows(s.Outstanding) && healthquery.UseOf(s, true, 0, now) != healthquery.NoUse {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the server for the ticket, or nil if it has to wait.
+func choose(servers map[string]*table.Backend, t *table.Ticket, now time.Time) *table.Backend {
+	candidates := make([]admission.Server, 0, len(servers))
+	for _, address := range slices.Sorted(maps.Keys(servers)) {
+		s := servers[address]
+		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
+		if use != healthquery.NoUse {
+			candidates = append(candidates, admission.Server{
+				Address: address, Outstanding: s.Outstanding, Limit: s.Limit, Trial: use == healthquery.TrialUse,
+			})
+		}
+	}
+	n := admission.Choose(candidates, t.ID, t.Tried)
+	if n < 0 {
+		return nil
+	}
+	return servers[candidates[n].Address]
+}
--- a/service/node/config.go
+++ b/service/node/config.go
@@ -25,6 +25,7 @@
 		{Name: "heartbeat", Every: member.HeartbeatInterval, Run: n.beatJob},
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
 		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
+		{Name: "certificates", Every: certificatePeriod, Run: n.reloadCertificates},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
--- a/service/node/fleet_test.go
+++ b/service/node/fleet_test.go
@@ -74,7 +74,7 @@
 	return s.URL
 }
 
-func (f *testFleet) startNode(t testing.TB, id, zone string) *Node {
+func (f *testFleet) startNode(t testing.TB, id, zone string) {
 	t.Helper()
 	n, err := New(settings.Settings{
 		HostID: id, Region: "kz-central", AvailabilityZone: zone,
@@ -95,7 +95,6 @@
 		ID: id, Region: "kz-central", AvailabilityZone: zone,
 		CallerAddress: n.Settings.CallerAddress, PeerAddress: n.Settings.PeerAddress,
 	})
-	return n
 }
 
 func (f *testFleet) close() {
--- a/service/node/health.go
+++ b/service/node/health.go
@@ -51,9 +51,10 @@
 	}
 }
 
-// sweep is a periodic job that ejects and readmits backend servers.
+// sweep is a periodic job that ejects and readmits backend servers, and then assigns requests that waited for them.
 func (n *Node) sweep(context.Context) {
 	s := n.health.Sweep(time.Now())
+	n.Dispatcher.Sweep(time.Now())
 	if s.Paused {
 		n.Log.Warn().Msg("node was paused; ages of requests in flight are discarded")
 	}
