--- a/service/node/config.go
+++ b/service/node/config.go
@@ -7,6 +7,7 @@
 
 	"egretline.example/egretline/pkg/decide/member"
 	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/service/hostlist"
 )
 
@@ -26,6 +27,7 @@
 		{Name: "peer-config", Every: peerConfigPeriod, Run: n.checkPeerConfig},
 		{Name: "snapshot", Every: snapshotPeriod, Run: n.checkSnapshot},
 		{Name: "certificates", Every: certificatePeriod, Run: n.reloadCertificates},
+		{Name: "report", Every: healthquery.ReportPeriod, Run: n.reportEarly},
 		{Name: "sweep", Every: healthcmd.SweepPeriod, Run: n.sweep},
 		{Name: "probe", Every: probePeriod, Run: n.probe},
 	}
