--- a/test/fleetproc/fleet.go
+++ b/test/fleetproc/fleet.go
@@ -179,6 +179,12 @@
 	return e, get(ctx, url, token, &e)
 }
 
+// Config returns the configuration that the node has in force.
+func (f *Fleet) Config(ctx context.Context, n *Node) (api.Config, error) {
+	var c api.Config
+	return c, get(ctx, n.Operator+"/operator/config", "", &c)
+}
+
 // NodeAt returns the node with the caller address.
 func (f *Fleet) NodeAt(address string) *Node {
 	for _, n := range f.Nodes {
--- a/test/fleetproc/process.go
+++ b/test/fleetproc/process.go
@@ -21,6 +21,8 @@
 // ExitError reports a process that ended with an error.
 type ExitError struct {
 	Name string
+	// Code is the exit code, or -1 if a signal ended the process.
+	Code int
 	Err  error
 	// Log is the path of the output of the process.
 	Log string
@@ -85,7 +87,7 @@
 	select {
 	case <-p.done:
 		if p.err != nil {
-			return ExitError{Name: p.Name, Err: p.err, Log: p.Log}
+			return ExitError{Name: p.Name, Code: p.cmd.ProcessState.ExitCode(), Err: p.err, Log: p.Log}
 		}
 		return nil
 	case <-ctx.Done():
--- a/test/process/assert_test.go
+++ b/test/process/assert_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -307,3 +309,46 @@
 	}))
 	return node
 }
+
+func (f *fixture) revisions(t *testing.T) []int64 {
+	t.Helper()
+	var list []int64
+	for _, n := range f.Nodes {
+		c, err := f.Config(f.ctx, n)
+		is.New(t).NoErr(err)
+		list = append(list, c.Revision)
+	}
+	return list
+}
+
+func (f *fixture) lowestRevision(t *testing.T) int64 {
+	t.Helper()
+	return slices.Min(f.revisions(t))
+}
+
+// assertSameRevision returns the revision that all nodes have in force.
+func (f *fixture) assertSameRevision(t *testing.T) int64 {
+	t.Helper()
+	list := f.revisions(t)
+	is.New(t).Equal(slices.Min(list), slices.Max(list))
+	return list[0]
+}
+
+// assertApply applies the configuration with a comment through the first node and compares the exit code of the command.
+func (f *fixture) assertApply(t *testing.T, comment string, code int) {
+	t.Helper()
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), configFile)
+	contents := append([]byte("# "+comment+"\n"), configuration(f.backends)...)
+	is.NoErr(os.WriteFile(path, contents, 0o600))
+	p, err := f.Program("apply-"+comment, "egretline", "apply", "--file", path, "--node", f.Nodes[0].Operator)
+	is.NoErr(err)
+	err = p.Wait(f.ctx)
+	var exit fleetproc.ExitError
+	if errors.As(err, &exit) {
+		is.Equal(exit.Code, code)
+		return
+	}
+	is.NoErr(err)
+	is.Equal(code, 0)
+}
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -110,3 +110,27 @@
 	tr.awaitAnswers(t, 500, anyNode)
 	f.assertPromises(t)
 }
+
+// Guards against an apply that reports a wrong outcome: a lost reply that counts twice or fails, and an outage that passes
+// for accepted.
+func TestApply(t *testing.T) {
+	f := newFleet(t, 3, nil)
+	before := f.assertSameRevision(t)
+
+	t.Run("lost replies: accepted once, in force everywhere", func(t *testing.T) {
+		is := is.New(t)
+		is.NoErr(f.SetFaults(f.ctx, f.LogURL+"/faults", logservice.Faults{LoseReplies: 2}))
+		f.assertApply(t, "lost", 0)
+		is.NoErr(fleetproc.Await(f.ctx, "the new revision is in force everywhere", func() bool {
+			return f.lowestRevision(t) > before
+		}))
+		f.assertSameRevision(t)
+	})
+	t.Run("outage: the outcome is unknown and nothing changes", func(t *testing.T) {
+		is := is.New(t)
+		applied := f.assertSameRevision(t)
+		is.NoErr(f.SetFaults(f.ctx, f.LogURL+"/faults", logservice.Faults{Outage: true}))
+		f.assertApply(t, "outage", 5)
+		is.Equal(f.assertSameRevision(t), applied)
+	})
+}
