Count a request as sent when the transport's replay cannot connect

Cause: the demo reported a not-run that had run. net/http replays an idempotent request when a reused connection breaks; the replay to the killed node failed to connect, so the load tool took the request for unsent and asked the next node, which refused its own attempt as not run. Change: the load tool notes that headers were written and counts such a request as a transport error.

--- a/service/entry/send.go
+++ b/service/entry/send.go
@@ -10,9 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"egretline.example/egretline/pkg/fleet"
@@ -68,10 +70,16 @@
 		return
 	}
 	result.Key = request.Header.Get(api.HeaderIdempotencyKey)
+	var sent atomic.Bool
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { sent.Store(true) },
+	}))
 	response, err := s.Client.transport.RoundTrip(request)
 	if err != nil {
 		result.Detail = err.Error()
-		result.Reply = load.Reply{Connected: !dialFailed(err), Broken: true}
+		// The transport replays an idempotent request when a reused connection breaks. The replay may fail to connect
+		// after the first try has reached the node.
+		result.Reply = load.Reply{Connected: sent.Load() || !dialFailed(err), Broken: true}
 		if result.Reply.Connected {
 			result.Node = e.Address
 		}
