--- a/test/fleetproc/process.go
+++ b/test/fleetproc/process.go
@@ -21,6 +21,8 @@
 // ExitError reports a process that ended with an error.
 type ExitError struct {
 	Name string
+	// Code is the exit code, or -1 if a signal ended the process.
+	Code int
 	Err  error
 	// Log is the path of the output of the process.
 	Log string
@@ -42,7 +44,7 @@
 
 // Build compiles the programs of the module at root into the directory.
 func Build(ctx context.Context, root, directory string) error {
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", directory+string(filepath.Separator), "./cmd/...")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", directory+string(filepath.Separator), "./cmd/...") //nolint:gosec // a directory of this test run
 	cmd.Dir = root
 	cmd.Stderr = os.Stderr
 	return eris.Wrap(cmd.Run(), "build programs")
@@ -85,7 +87,7 @@
 	select {
 	case <-p.done:
 		if p.err != nil {
-			return ExitError{Name: p.Name, Err: p.err, Log: p.Log}
+			return ExitError{Name: p.Name, Code: p.cmd.ProcessState.ExitCode(), Err: p.err, Log: p.Log}
 		}
 		return nil
 	case <-ctx.Done():
