--- a/pkg/decide/detect/suspect.go
+++ b/pkg/decide/detect/suspect.go
@@ -32,6 +32,9 @@
 // The evidence of several zones is added, and each zone counts for half of the threshold at most, so that no single zone
 // ejects a server for the others. The member's own zone alone makes the server avoided.
 func Judge(s *State, own Report, peers []Report, t Settings, now time.Time) Scope {
+	if own.Excess <= 0 && len(peers) == 0 {
+		return InUse
+	}
 	zones := map[string]float64{}
 	for _, r := range slices.Concat(peers, []Report{own}) {
 		if now.Sub(r.LastFailure) <= evidenceAge && r.LastFailure.After(s.Ejection.Readmitted) {
--- a/pkg/measure/health.go
+++ b/pkg/measure/health.go
@@ -24,9 +24,7 @@
 	connectTimeout = time.Second
 	// inFlightLimit is the limit of a member for one server: 6 slots over 4 members, rounded up.
 	inFlightLimit = 2
-	// noiseRate is the failure rate of healthy noisy traffic.
-	noiseRate  = 0.02
-	slowFactor = 20
+	slowFactor    = 20
 	// coldTime is how long a server is slow after it joined.
 	coldTime = 5 * time.Second
 )
@@ -81,7 +79,9 @@
 	// Zones holds the availability zone of each member.
 	Zones []string
 	// Rate is the number of requests a second for each server of the pool, over all members.
-	Rate  float64
+	Rate float64
+	// Noise is the failure rate of healthy servers, above 0.
+	Noise float64
 	Fault Fault
 	// ReportEvery is the least time between two reports of a member, and BeatEvery that between regular heartbeats.
 	ReportEvery time.Duration
@@ -263,7 +263,7 @@
 		return r.faulty(f, latency)
 	}
 	// The noise is half errors, a quarter slow responses and a quarter lost responses.
-	switch u := r.random.Float64() / noiseRate; {
+	switch u := r.random.Float64() / r.Noise; {
 	case u < 0.5:
 		return fleet.Failed, latency
 	case u < 0.75:
--- a/pkg/measure/health_test.go
+++ b/pkg/measure/health_test.go
@@ -17,6 +17,9 @@
 	requestsPerSecond = 6
 	detectionTarget   = 2 * time.Second
 	trials            = 100
+	// noisy and usual are failure rates of healthy servers.
+	noisy = 0.02
+	usual = 0.005
 )
 
 // deployment is one of the two deployments of section 1.1 of the design page. The group has four members.
@@ -44,7 +47,7 @@
 		})
 	}
 	return Scenario{
-		Service: s, Zones: d.zones, Rate: requestsPerSecond, Fault: fault, FaultAt: 5 * time.Second,
+		Service: s, Zones: d.zones, Rate: requestsPerSecond, Noise: noisy, Fault: fault, FaultAt: 5 * time.Second,
 		Length: 25 * time.Second, ReportEvery: healthquery.ReportPeriod, BeatEvery: member.HeartbeatInterval, Seed: seed, New: NewMember,
 	}
 }
@@ -77,7 +80,10 @@
 		for name := range d.services {
 			t.Run(d.name+"/"+name, func(t *testing.T) {
 				t.Parallel()
-				first, _, _ := detections(scenario(d, name, Stall, 0))
+				s := scenario(d, name, Stall, 0)
+				// What is not found in the 5 s after the fault misses the target.
+				s.Length = 10 * time.Second
+				first, _, _ := detections(s)
 				assertBelow(t, first, 99, detectionTarget)
 			})
 		}
@@ -164,7 +170,9 @@
 	s.New = n.new
 	if fault == NoFault {
 		s.Length = time.Hour
-		t.Logf("false ejections in an hour: %d", RunHealth(s).False)
+		noise := RunHealth(s).False
+		s.Noise = usual
+		t.Logf("false ejections in an hour: %d with noise of %v, %d with %v", noise, noisy, RunHealth(s).False, usual)
 		return
 	}
 	first, all, ejections := detections(s)
