--- a/cmd/egretline/cmds/query/register.go
+++ b/cmd/egretline/cmds/query/register.go
@@ -14,6 +14,8 @@
 
 func all() []subcommands.Command {
 	return []subcommands.Command{
+		&replay{},
+		newCheck(),
 		&report{},
 		&show{},
 		&version{},
--- a/pkg/configcmd/follow.go
+++ b/pkg/configcmd/follow.go
@@ -22,6 +22,8 @@
 	longPoll = 4 * time.Second
 	// retryDelay is the wait after a failed read.
 	retryDelay = time.Second
+	// reportEvery is the number of failed reads in a row for each log line. An outage of the log may last for hours.
+	reportEvery = 60
 	// maxSnapshotReads bounds the walk back through the snapshots, each of which may be several MB.
 	maxSnapshotReads = 16
 )
@@ -30,9 +32,17 @@
 type Follower struct {
 	Log Log
 	// Peers may be nil.
-	Peers  Peers
-	Config *guard.Guard[table.Config]
-	Logger zerolog.Logger
+	Peers Peers
+	// Observer may be nil.
+	Observer Observer
+	Config   *guard.Guard[table.Config]
+	Logger   zerolog.Logger
+}
+
+// Observer learns of changes of the configuration in force.
+type Observer interface {
+	// ConfigurationChanged is called after each change, and may be called concurrently.
+	ConfigurationChanged()
 }
 
 // New returns a follower with its dependencies. peers may be nil.
@@ -46,12 +56,30 @@
 	if err := f.Start(ctx); err != nil {
 		f.Logger.Warn().Err(err).Msg("cannot start from a snapshot of the configuration; reading the whole log")
 	}
+	failures := 0
 	for ctx.Err() == nil {
-		if err := f.Poll(ctx, longPoll); err != nil && ctx.Err() == nil {
-			f.Logger.Warn().Err(err).Msg("cannot read the configuration log; keeping the configuration and retrying")
-			pause(ctx, retryDelay)
+		err := f.follow(ctx)
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if failures%reportEvery == 0 && ctx.Err() == nil {
+			f.Logger.Warn().Err(err).Int("failures", failures+1).
+				Msg("cannot read the configuration log; keeping the configuration and retrying")
 		}
+		failures++
+	}
+}
+
+// follow polls once. It pauses after a failure, and after a reply that came at once and brought nothing, so that a log
+// that does not hold its long polls is not asked without end.
+func (f *Follower) follow(ctx context.Context) error {
+	before, started := f.state().Next, time.Now()
+	err := f.Poll(ctx, longPoll)
+	if err != nil || f.state().Next == before && time.Since(started) < retryDelay {
+		pause(ctx, retryDelay)
 	}
+	return err
 }
 
 // Start adopts the newest snapshot, which saves a new node from reading all retained records.
@@ -87,13 +115,12 @@
 // rejoin continues from a snapshot or a peer that covers all records before the offset first.
 func (f *Follower) rejoin(ctx context.Context, first int64) error {
 	joined, err := f.joinSnapshot(ctx, first)
-	if joined {
-		return nil
-	}
 	if err != nil {
 		f.Logger.Warn().Err(err).Msg("cannot read snapshots of the configuration; asking peers")
 	}
-	f.fetch(ctx)
+	if !joined {
+		f.fetch(ctx)
+	}
 	if s := f.state(); !fold.Joins(s, first) {
 		return CannotJoinError{Next: s.Next, First: first}
 	}
@@ -168,7 +195,7 @@
 	var known map[string]table.DecodedFile
 	var current fold.State
 	f.Config.Read(guard.Held{}, func(_ guard.Held, c *table.Config) { current, known = c.Fold, c.Decoded })
-	if !fold.Supersedes(s, current) {
+	if s.Next == current.Next {
 		return
 	}
 	// Compiling a large configuration takes milliseconds, so it is done without the lock.
@@ -185,6 +212,9 @@
 	})
 	if adopted && s.Revision > current.Revision {
 		f.report(s, compiled.Problems)
+		if f.Observer != nil {
+			f.Observer.ConfigurationChanged()
+		}
 	}
 }
 
--- a/pkg/configcmd/follow_test.go
+++ b/pkg/configcmd/follow_test.go
@@ -116,10 +116,60 @@
 		for i, id := range []string{"id-1", "id-2", "id-3"} {
 			assertApply(t, w.readers[0], id, int64(i), fold.Accepted)
 		}
-		w.readers[1].Follower.Log = gapLog{newClient(w.service)}
+		w.readers[1].Follower.Log = alteredLog{newClient(w.service), func(b configcmd.Batch) configcmd.Batch {
+			if len(b.Records) > 1 {
+				b.Records = append(b.Records[:1:1], b.Records[2:]...)
+			}
+			return b
+		}}
 		is.True(w.readers[1].Follower.Poll(context.Background(), 0) != nil)
 		is.Equal(w.readers[1].state().Next, int64(1))
 	})
+	bubble(t, "a read that comes back late does not take the configuration back", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+		fast := w.readers[1].Follower
+		slow := *fast
+		release := make(chan struct{})
+		slow.Log = alteredLog{fast.Log, func(b configcmd.Batch) configcmd.Batch {
+			<-release
+			return b
+		}}
+		done := make(chan error)
+		go func() { done <- slow.Poll(context.Background(), 0) }()
+		synctest.Wait()
+		assertApply(t, w.readers[0], "id-2", 1, fold.Accepted)
+		is.NoErr(fast.Poll(context.Background(), 0))
+		close(release)
+		is.NoErr(<-done)
+		is.Equal(w.readers[1].state().Next, int64(2))
+	})
+	bubble(t, "a log that does not hold long polls is not asked without end", false, func(t *testing.T, w *world) {
+		is := is.New(t)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		reads := 0
+		w.readers[0].Follower.Log = alteredLog{newClient(w.service), func(b configcmd.Batch) configcmd.Batch {
+			reads++
+			return b
+		}}
+		w.readers[0].Follower.Run(ctx)
+		is.True(reads <= 11) // at most one read a second
+	})
+	bubble(t, "the observer learns of each change of the configuration, and of nothing else", false,
+		func(t *testing.T, w *world) {
+			is := is.New(t)
+			seen := &observer{reader: w.readers[1]}
+			w.readers[1].Follower.Observer = seen
+			assertApply(t, w.readers[0], "id-1", 0, fold.Accepted)
+			assertApply(t, w.readers[0], "id-2", 0, fold.Conflict)
+			for range 2 {
+				is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			}
+			assertApply(t, w.readers[0], "id-3", 1, fold.Accepted)
+			is.NoErr(w.readers[1].Follower.Poll(context.Background(), 0))
+			is.Equal(seen.revisions, []int64{1, 3})
+		})
 	bubble(t, "a peer that is behind is ignored", true, func(t *testing.T, w *world) {
 		is := is.New(t)
 		assertApply(t, w.readers[0], "id", 0, fold.Accepted)
@@ -130,15 +180,25 @@
 	})
 }
 
-// gapLog loses the second record of each read.
-type gapLog struct{ configcmd.Log }
+// observer records the revisions that are in force when it is called.
+type observer struct {
+	reader    *reader
+	revisions []int64
+}
+
+func (o *observer) ConfigurationChanged() {
+	o.revisions = append(o.revisions, o.reader.Query.Current().Revision)
+}
+
+// alteredLog changes the batches of reads, and does not hold long polls.
+type alteredLog struct {
+	configcmd.Log
+	alter func(configcmd.Batch) configcmd.Batch
+}
 
-func (g gapLog) Read(ctx context.Context, s string, from int64, n int, wait time.Duration) (configcmd.Batch, error) {
-	batch, err := g.Log.Read(ctx, s, from, n, wait)
-	if len(batch.Records) > 1 {
-		batch.Records = append(batch.Records[:1:1], batch.Records[2:]...)
-	}
-	return batch, err
+func (l alteredLog) Read(ctx context.Context, s string, from int64, n int, _ time.Duration) (configcmd.Batch, error) {
+	batch, err := l.Log.Read(ctx, s, from, n, 0)
+	return l.alter(batch), err
 }
 
 // Guards against a configuration that is lost when the records expire.
--- a/pkg/configcmd/world_test.go
+++ b/pkg/configcmd/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -164,17 +165,6 @@
 	return s
 }
 
-// wonBy says whether one of the applies was the first to be accepted on the base.
-func (w *world) wonBy(ids []string, base int64, file string) bool {
-	decisions := reference(w.history).Decisions
-	for _, id := range ids {
-		if d := decisions[id]; d.Verdict == fold.Accepted && d.Base == base && d.File == file {
-			return true
-		}
-	}
-	return false
-}
-
 // check compares every reader with the fold of the records that it covers.
 func (w *world) check(when string) {
 	w.remember()
@@ -192,8 +182,8 @@
 			w.violate("%s: reader %d went from revision %d to %d", when, i, r.revision, s.Revision)
 		}
 		r.revision = s.Revision
-		if c := r.Query.Current(); s.Revision > 0 && (c == nil || c.Revision != s.Revision) {
-			w.violate("%s: reader %d does not have revision %d in force", when, i, s.Revision)
+		if fresh, _ := configcmd.Compile(s, nil); !reflect.DeepEqual(fresh, r.Query.Current()) {
+			w.violate("%s: reader %d has %v in force, want %v", when, i, r.Query.Current(), fresh)
 		}
 	}
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -30,6 +30,7 @@
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
 	Keys     *guard.Guard[Keys]
+	Traffic  *guard.Guard[Traffic]
 	Budgets  *guard.Guard[Budgets]
 }
 
@@ -41,6 +42,7 @@
 		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, newQueues()),
 		Keys:     guard.New(RankKeys, newKeys()),
+		Traffic:  guard.New(RankTraffic, newTraffic()),
 		Budgets:  guard.New(RankBudgets, Budgets{Services: map[string]*retry.Budget{}}),
 	}
 }
