--- a/pkg/measure/dispatch.go
+++ b/pkg/measure/dispatch.go
@@ -1,5 +1,3 @@
-// Package measure runs the decision code of one node against fake backend servers on explicit time, and reports the
-// metrics of the design page. The same seed gives the same figures. Baselines are kept beside the project's own code.
 package measure
 
 import (
@@ -53,8 +51,8 @@
 	Stalled int
 }
 
-// Trial is one run.
-type Trial struct {
+// DispatchTrial is one run.
+type DispatchTrial struct {
 	Deployment Deployment
 	// Offered is the slot time that each rank asks for, in multiples of the capacity of the pool.
 	Offered []float64
@@ -81,8 +79,8 @@
 	Refused  int
 }
 
-// Result is the outcome of a trial.
-type Result struct {
+// DispatchResult is the outcome of a trial.
+type DispatchResult struct {
 	Ranks []RankResult
 	// Amplification is the number of attempts for each first attempt; Saved leaves out what the full budgets at the start
 	// of the nodes allowed.
@@ -134,8 +132,8 @@
 }
 
 // Run runs the trial.
-func Run(t Trial) Result {
-	s := &run{Trial: t, random: rand.New(rand.NewPCG(t.Seed, 0)), now: epoch}
+func RunDispatch(t DispatchTrial) DispatchResult {
+	s := &run{DispatchTrial: t, random: rand.New(rand.NewPCG(t.Seed, 0)), now: epoch}
 	for range max(t.Nodes, 1) {
 		if t.Baseline {
 			s.nodes = append(s.nodes, newFIFO(t.Deployment))
--- a/pkg/measure/dispatch_run.go
+++ b/pkg/measure/dispatch_run.go
@@ -52,7 +52,7 @@
 
 // run is the state of a trial.
 type run struct {
-	Trial
+	DispatchTrial
 	random *rand.Rand
 	now    time.Time
 	nodes  []dispatcher
@@ -60,12 +60,12 @@
 	busy   []int
 	events events
 	serial int
-	result Result
+	result DispatchResult
 	first  int
 	sheds  int
 }
 
-func (s *run) run() Result {
+func (s *run) run() DispatchResult {
 	s.busy = make([]int, s.Deployment.Servers)
 	for r, l := range s.Deployment.Ranks {
 		s.result.Ranks = append(s.result.Ranks, RankResult{Rank: l.Rank, Offered: s.Offered[r]})
@@ -192,7 +192,7 @@
 	return max(to.Sub(from), 0)
 }
 
-func (s *run) summary() Result {
+func (s *run) summary() DispatchResult {
 	capacity := s.Duration.Seconds() * float64(s.Deployment.Servers*s.Deployment.Slots)
 	for r := range s.result.Ranks {
 		s.result.Ranks[r].Goodput /= capacity
--- a/pkg/measure/dispatch_test.go
+++ b/pkg/measure/dispatch_test.go
@@ -15,11 +15,11 @@
 	none = -1
 )
 
-func trialOf(d Deployment, offered []float64, baseline bool) Trial {
-	return Trial{Deployment: d, Offered: offered, Nodes: 1, Baseline: baseline, Warmup: warmup, Duration: length, Seed: 1}
+func trialOf(d Deployment, offered []float64, baseline bool) DispatchTrial {
+	return DispatchTrial{Deployment: d, Offered: offered, Nodes: 1, Baseline: baseline, Warmup: warmup, Duration: length, Seed: 1}
 }
 
-func report(t *testing.T, name string, x Trial, r Result) {
+func report(t *testing.T, name string, x DispatchTrial, r DispatchResult) {
 	t.Helper()
 	kind := "egretline"
 	if x.Baseline {
@@ -37,7 +37,7 @@
 }
 
 // assertAmplification fails above the target of 1.1, beside the retries that full budgets allow at the start.
-func assertAmplification(t *testing.T, r Result) {
+func assertAmplification(t *testing.T, r DispatchResult) {
 	t.Helper()
 	if r.Saved > 1+retry.EarnPerFirstAttempt {
 		t.Errorf("amplification %.4f", r.Saved)
@@ -45,7 +45,7 @@
 }
 
 // assertUrgent fails if less than 99% of the urgent slot time that fits was answered.
-func assertUrgent(t *testing.T, x Trial, r Result) {
+func assertUrgent(t *testing.T, x DispatchTrial, r DispatchResult) {
 	t.Helper()
 	fits := 1.0
 	for _, k := range r.Ranks[1:] {
@@ -60,7 +60,7 @@
 // assertShares fails if a rank that is not in the surge got less than its share of the slot time, or than it asked for.
 // At the end of a trial a rank may have unused credit up to its share of one round of the slots for each rank, because a
 // dispatch is not preempted. The credit is still owed, so that it does not grow with the length of the trial.
-func assertShares(t *testing.T, d Deployment, surging int, r Result) {
+func assertShares(t *testing.T, d Deployment, surging int, r DispatchResult) {
 	t.Helper()
 	var rounds time.Duration
 	for _, l := range d.Ranks {
@@ -77,17 +77,17 @@
 func TestDispatch(t *testing.T) {
 	for _, d := range Deployments() {
 		t.Run(d.Name, func(t *testing.T) {
-			measure := func(name string, offered []float64, f Faults) (Trial, Result) {
+			measure := func(name string, offered []float64, f Faults) (DispatchTrial, DispatchResult) {
 				for _, baseline := range []bool{true, false} {
 					x := trialOf(d, offered, baseline)
 					x.Faults = f
-					r := Run(x)
+					r := RunDispatch(x)
 					report(t, name, x, r)
 					if !baseline {
 						return x, r
 					}
 				}
-				return Trial{}, Result{}
+				return DispatchTrial{}, DispatchResult{}
 			}
 			for _, load := range []float64{0.7, 1, 2, 5} {
 				t.Run(fmt.Sprint("load ", load), func(t *testing.T) {
@@ -102,7 +102,7 @@
 			t.Run("surge of the least urgent rank, four nodes", func(t *testing.T) {
 				x := trialOf(d, Surge(d, len(d.Ranks)-1, 0.7), false)
 				x.Nodes = 4
-				r := Run(x)
+				r := RunDispatch(x)
 				report(t, "surge of the least urgent, 4 nodes", x, r)
 				assertUrgent(t, x, r)
 				assertAmplification(t, r)
@@ -110,7 +110,7 @@
 			t.Run("surge of the most urgent rank, four nodes", func(t *testing.T) {
 				x := trialOf(d, Surge(d, 0, 2), false)
 				x.Nodes = 4
-				r := Run(x)
+				r := RunDispatch(x)
 				report(t, "surge of the most urgent, 4 nodes", x, r)
 				assertShares(t, d, 0, r)
 				assertAmplification(t, r)
