--- a/pkg/measure/dispatch.go
+++ b/pkg/measure/dispatch.go
@@ -131,7 +131,7 @@
 	finish(now time.Time, r *request, server int, e fleet.Evidence, took time.Duration) bool
 }
 
-// Run runs the trial.
+// RunDispatch runs the trial.
 func RunDispatch(t DispatchTrial) DispatchResult {
 	s := &run{DispatchTrial: t, random: rand.New(rand.NewPCG(t.Seed, 0)), now: epoch}
 	for range max(t.Nodes, 1) {
