Give the uses of a server in the health measures names of their own

Cause: the two measuring files of one package both declared Trial. Change: NoUse, TrialUse and NormalUse.

--- a/pkg/measure/health.go
+++ b/pkg/measure/health.go
@@ -50,9 +50,9 @@
 
 // Uses of a server.
 const (
-	None Use = iota
-	Trial
-	Normal
+	NoUse Use = iota
+	TrialUse
+	NormalUse
 )
 
 // Fault is the way in which a server fails.
@@ -225,10 +225,10 @@
 			continue
 		}
 		use := m.detector.Use(b.Address, r.now)
-		if use == None || m.outstanding[b.Address] >= inFlightLimit {
+		if use == NoUse || m.outstanding[b.Address] >= inFlightLimit {
 			continue
 		}
-		if use == Trial {
+		if use == TrialUse {
 			best = b.Address
 			break
 		}
@@ -358,7 +358,7 @@
 	for _, m := range r.members {
 		affected := r.Fault != Partition || m.zone == r.Zones[0]
 		if affected && !m.detected {
-			m.detected = m.detector.Use(r.Service.BackendServers[0].Address, r.now) != Normal
+			m.detected = m.detector.Use(r.Service.BackendServers[0].Address, r.now) != NormalUse
 			all = all && m.detected
 		}
 		if m.detected && r.result.First < 0 {
--- a/pkg/measure/health_detectors.go
+++ b/pkg/measure/health_detectors.go
@@ -33,11 +33,11 @@
 	s := &m.Services[m.service].Servers[address].State
 	switch {
 	case !detect.Out(s):
-		return Normal
+		return NormalUse
 	case detect.TrialDue(s, now):
-		return Trial
+		return TrialUse
 	default:
-		return None
+		return NoUse
 	}
 }
 
@@ -175,9 +175,9 @@
 // Use implements Detector.
 func (b *Baseline) Use(address string, now time.Time) Use {
 	if now.Before(b.servers[address].until) {
-		return None
+		return NoUse
 	}
-	return Normal
+	return NormalUse
 }
 
 // Out implements Detector.
