Refuse a lone request that has no more than the mean service time left

Change: a lone request needs more than the mean, which is bounded by half of its timeout, so that a rank that was slow in a fault still learns.

--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -112,17 +112,22 @@
 	return longest
 }
 
-// need returns the time that the item should have left when it is dispatched. It is at most half of the item's whole
-// time, so that a rank whose service times vary widely is not refused for that alone.
+// need returns the time that the item should have left when it is dispatched.
 func need[T any](q *Queue[T], i Item[T]) time.Duration {
-	return min(q.Ranks[i.Rank].ServiceTime.Need(), i.Deadline.Sub(i.Arrived)/2)
+	return atMostHalf(i, q.Ranks[i.Rank].ServiceTime.Need())
 }
 
-// late says that the item cannot meet its deadline. An item that waits alone is dispatched as long as it has any time
-// left, because its slot would otherwise stay free.
+// atMostHalf bounds the time by half of the item's whole time, so that a rank whose service times vary widely, or were
+// long in a fault, is not refused for that alone.
+func atMostHalf[T any](i Item[T], d time.Duration) time.Duration {
+	return min(d, i.Deadline.Sub(i.Arrived)/2)
+}
+
+// late says that the item cannot meet its deadline. An item that waits alone is dispatched if it has more than the mean
+// service time left, because its slot would otherwise stay free; with less it would most likely end as unknown.
 func late[T any](q *Queue[T], i Item[T], now time.Time) bool {
 	left := i.Deadline.Sub(now)
-	if left <= 0 {
+	if left <= atMostHalf(i, q.Ranks[i.Rank].ServiceTime.Mean) {
 		return true
 	}
 	return Waiting(q) > 1 && left < need(q, i)
