--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -28,7 +28,7 @@
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		s, health := find(b, key)
+		s, health := touch(b, key, now)
 		if s == nil {
 			return
 		}
@@ -55,10 +55,12 @@
 	return failed && !r.Response && !t.Deadline.IsZero() && !now.Before(t.Deadline) && r.Latency < detect.StallAge(b)
 }
 
-// Started records that a request was assigned to a backend server. It only feeds the trace.
+// Started records that a request was assigned to a backend server, so that sweeps look at its age.
 func (c *Commands) Started(now time.Time, a table.Assignment) {
+	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) { touch(b, key, now) })
 	c.record(trace.Event{
-		At: now, Kind: trace.Started, Service: a.Ticket.Service, Address: a.Server.Address, Request: a.Ticket.ID,
+		At: now, Kind: trace.Started, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 	})
 }
 
@@ -67,7 +69,7 @@
 func (c *Commands) Responded(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		s, _ := find(b, key)
+		s, _ := touch(b, key, now)
 		if s == nil {
 			return
 		}
@@ -93,7 +95,7 @@
 // ObserveProbe records the result of a probe.
 func (c *Commands) ObserveProbe(now time.Time, p Probe) {
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		s, health := find(b, p.Server)
+		s, health := touch(b, p.Server, now)
 		if s == nil {
 			return
 		}
@@ -116,11 +118,13 @@
 	}
 }
 
-func find(b *table.Backends, key table.ServerKey) (*table.Backend, *table.Health) {
+// touch finds the server and its pool, and notes that there is evidence about the pool.
+func touch(b *table.Backends, key table.ServerKey, now time.Time) (*table.Backend, *table.Health) {
 	s := b.Services[key.Service][key.Address]
 	health := b.Health[key.Service]
 	if s == nil || health == nil {
 		return nil, nil
 	}
+	health.Touched = now
 	return s, health
 }
--- a/pkg/healthcmd/report.go
+++ b/pkg/healthcmd/report.go
@@ -30,6 +30,9 @@
 		b.Peers[r.HostID] = table.PeerReport{
 			AvailabilityZone: r.AvailabilityZone, Received: now, Suspicions: r.Suspicions,
 		}
+		for key := range r.Suspicions {
+			touch(b, key, now)
+		}
 		for _, key := range r.Leaving {
 			if s := b.Services[key.Service][key.Address]; s != nil && !s.Leaving {
 				markLeaving(s, table.LeavingReported, now)
--- a/pkg/healthcmd/sweep.go
+++ b/pkg/healthcmd/sweep.go
@@ -13,6 +13,10 @@
 // SweepPeriod is the time between two sweeps. It adds to the detection time, which has a target of 2 s.
 const SweepPeriod = 100 * time.Millisecond
 
+// idleAfter is how long after the last evidence a pool is swept. A node holds the pools of all services, and looking at
+// 11,000 servers ten times a second took 6.6% of a core; nothing changes in a pool without evidence.
+const idleAfter = 2 * time.Minute
+
 // Swept is what a sweep changed.
 type Swept struct {
 	// Paused says that the node itself was paused before this sweep.
@@ -31,13 +35,14 @@
 		b.LastSweep = now
 		expireReports(b, now)
 		zones := map[string]detect.ZoneState{}
-		for name := range b.Services {
+		pools := active(b, now)
+		for _, name := range pools {
 			sweepAges(b, name, swept.Paused, now)
 			addZones(b, name, zones, now)
 		}
 		b.Isolated = detect.Isolated(zones, self.AvailabilityZone)
 		swept.Isolated = b.Isolated
-		for name := range b.Services {
+		for _, name := range pools {
 			if changes := decide(b, name, self, now); len(changes.Ejected)+len(changes.Readmitted) > 0 {
 				swept.Services[name] = changes
 			}
@@ -50,6 +55,17 @@
 	return swept
 }
 
+// active returns the services whose pools have recent evidence.
+func active(b *table.Backends, now time.Time) []string {
+	var names []string
+	for name, health := range b.Health {
+		if !health.Touched.IsZero() && now.Sub(health.Touched) < idleAfter {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (c *Commands) self() floor.Member {
 	var m floor.Member
 	c.Tables.Members.Read(guard.Held{}, func(_ guard.Held, t *table.Members) {
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -74,6 +74,7 @@
 			s.Leaving = true
 			s.LeavingReason = table.LeavingRemoved
 			s.LeavingSince = now
+			b.Health[name].Touched = now
 		}
 	}
 	dropEnded(b, name)
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -27,6 +27,8 @@
 	Settings detect.Settings
 	// Summary describes the pool as of the last sweep.
 	Summary detect.Summary
+	// Touched is the time of the last evidence about the pool; zero if there was none.
+	Touched time.Time
 }
 
 // Backend is the state of one backend server at this node.
