Count a tenant's limits for each rank by itself

Cause: the demo lost bookings in a surge of archives: a tenant's archives filled its in-flight limit of 40, and its bookings were refused by it. The new subtest fails with one usage for all ranks.

--- a/pkg/decide/admission/tenant.go
+++ b/pkg/decide/admission/tenant.go
@@ -6,7 +6,7 @@
 	"egretline.example/egretline/pkg/fleet"
 )
 
-// Usage is what one tenant uses of one node.
+// Usage is what one tenant uses of one node in one rank.
 type Usage struct {
 	// Tokens is the number of requests that the tenant may send at once.
 	Tokens float64
@@ -18,18 +18,18 @@
 	Limits fleet.Limits
 }
 
-// Enter admits one request of the tenant, or returns RefusedError. An admitted request is ended with Leave.
-func Enter(u *Usage, l fleet.Limits, tenant string, now time.Time) error {
+// Enter admits one request of the tenant in the rank, or returns RefusedError. An admitted request is ended with Leave.
+func Enter(u *Usage, l fleet.Limits, tenant string, rank int, now time.Time) error {
 	u.Limits = l
 	refill(u, now)
 	if l.InFlight > 0 && u.InFlight >= l.InFlight {
-		return RefusedError{Reason: TenantInFlight, Tenant: tenant, RetryAfter: minRetryAfter}
+		return RefusedError{Reason: TenantInFlight, Rank: rank, Tenant: tenant, RetryAfter: minRetryAfter}
 	}
 	if l.RequestsPerSecond > 0 {
 		if u.Tokens < 1 {
 			missing := (1 - u.Tokens) / l.RequestsPerSecond
 			return RefusedError{
-				Reason: TenantRate, Tenant: tenant, RetryAfter: clampRetryAfter(time.Duration(missing * float64(time.Second))),
+				Reason: TenantRate, Rank: rank, Tenant: tenant, RetryAfter: clampRetryAfter(time.Duration(missing * float64(time.Second))),
 			}
 		}
 		u.Tokens--
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -24,9 +24,9 @@
 
 func (d *Dispatcher) dropIdle(now time.Time) {
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
-		for name, u := range q.Tenants {
+		for key, u := range q.Tenants {
 			if admission.Idle(u, now) {
-				delete(q.Tenants, name)
+				delete(q.Tenants, key)
 			}
 		}
 	})
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -96,8 +96,8 @@
 	if q.Closing {
 		return nil, ClosingError{}
 	}
-	u := usage(q, t.Tenant)
-	if err := admission.Enter(u, t.Limits, t.Tenant, now); err != nil {
+	u := usage(q, t)
+	if err := admission.Enter(u, t.Limits, t.Tenant, t.Rank, now); err != nil {
 		countRefusal(q, t, err)
 		return nil, err
 	}
@@ -162,11 +162,12 @@
 	return queue
 }
 
-func usage(q *table.Queues, tenant string) *admission.Usage {
-	u, ok := q.Tenants[tenant]
+func usage(q *table.Queues, t *table.Ticket) *admission.Usage {
+	key := table.TenantRank{Tenant: t.Tenant, Rank: t.Rank}
+	u, ok := q.Tenants[key]
 	if !ok {
 		u = &admission.Usage{}
-		q.Tenants[tenant] = u
+		q.Tenants[key] = u
 	}
 	return u
 }
--- a/pkg/dispatchcmd/dispatch_test.go
+++ b/pkg/dispatchcmd/dispatch_test.go
@@ -74,6 +74,22 @@
 			is.Equal(len(canceled.Runner.(*runner).sent), 0)
 		})
 	})
+	t.Run("a tenant's archives at their limit leave its urgent work alone", func(t *testing.T) {
+		trial(t, 8, 1, func(is *is.I, n *node) {
+			var tickets []*table.Ticket
+			for k := range 5 {
+				ticket := n.ticket("a", time.Minute, &runner{})
+				ticket.Limits.InFlight = 2
+				if k < 4 {
+					ticket.Rank = 1
+				}
+				tickets = append(tickets, ticket)
+			}
+			results := n.start(tickets...)()
+			is.Equal(outcomes(results)[fleet.NotRun], 2) // archives over the limit
+			is.Equal(results[4].Outcome, fleet.Answered)
+		})
+	})
 	t.Run("a tenant over its limit is refused and the others are not", func(t *testing.T) {
 		trial(t, 8, 4, func(is *is.I, n *node) {
 			one, two, other := n.ticket("a", time.Second, &runner{}), n.ticket("a", time.Second, &runner{}), n.ticket("b", time.Second, &runner{})
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -187,7 +187,7 @@
 	case fleet.Unknown:
 		c.Unknown++
 	}
-	admission.Leave(usage(q, t.Tenant))
+	admission.Leave(usage(q, t))
 	q.Open--
 	d.closeIdle(q)
 }
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -71,7 +71,7 @@
 	PathPrefix string
 }
 
-// Limits bounds what one tenant may ask of one node. Zero means no limit.
+// Limits bounds what one tenant may ask of one node in each rank. Zero means no limit.
 type Limits struct {
 	RequestsPerSecond float64
 	Burst             int
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -8,8 +8,8 @@
 // Queues is the waiting work by service, the use by tenants, and the number of requests that workers hold.
 type Queues struct {
 	Services map[string]*admission.Queue[*Ticket]
-	// Tenants is keyed by tenant name and holds the tenants that used the node lately.
-	Tenants map[string]*admission.Usage
+	// Tenants holds the tenants that used the node lately.
+	Tenants map[TenantRank]*admission.Usage
 	// InFlight is the number of requests that workers hold.
 	InFlight int
 	// Open is the number of requests that were admitted and have no result yet.
@@ -53,7 +53,7 @@
 func newQueues() Queues {
 	return Queues{
 		Services: map[string]*admission.Queue[*Ticket]{},
-		Tenants:  map[string]*admission.Usage{},
+		Tenants:  map[TenantRank]*admission.Usage{},
 		Counts:   map[CountKey]*Counts{},
 	}
 }
@@ -62,3 +62,10 @@
 func NewCounts() *Counts {
 	return &Counts{Refused: map[admission.Reason]int64{}, Ended: map[retry.Reason]int64{}}
 }
+
+// TenantRank is the key of a tenant's usage. The limits of a tenant hold for each rank by itself, so that a surge of a
+// tenant's archives does not use up what its bookings need.
+type TenantRank struct {
+	Tenant string
+	Rank   int
+}
