--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: all build demo fmt lint test
+.PHONY: all bench build demo fmt lint measure soak test
 
 all: build
 
@@ -25,3 +25,17 @@
 test:
 	RAPID_SEED=$(SEED) go test -race -count=1 -timeout 5m $$(go list ./... | grep -v /pkg/measure)
 	RAPID_SEED=$(SEED) go test -count=1 -timeout 5m ./pkg/measure
+
+# Runs all benchmarks, at most five minutes.
+bench:
+	go test -p 1 -run xxx -bench . -benchtime 300ms -timeout 5m ./pkg/... ./service/...
+
+# Prints the measures of detection and dispatch beside their baselines. The same seed gives the same figures.
+measure:
+	go test -count=1 -timeout 5m -run 'Health|Dispatch' -v ./pkg/measure
+
+# Runs the property-based tests with a fresh seed each time until SOAK seconds have passed. rapid prints the seed of a failure.
+SOAK ?= 60
+soak:
+	end=$$(( $$(date +%s) + $(SOAK) )); while [ $$(date +%s) -lt $$end ]; do \
+		RAPID_SEED=0 go test -count=1 -timeout 4m ./pkg/decide/... ./pkg/configcmd ./pkg/configquery || exit 1; done
--- a/pkg/membercmd/membercmd_test.go
+++ b/pkg/membercmd/membercmd_test.go
@@ -127,6 +127,21 @@
 	b.ReportMetric(float64(len(q.HeartbeatTargets())), "heartbeat-targets")
 }
 
+// BenchmarkRefresh measures the cost of a change of the live hosts by the size of the fleet.
+func BenchmarkRefresh(b *testing.B) {
+	for _, size := range []struct{ hosts, services int }{{44, 3}, {200, 60}, {840, 260}} {
+		b.Run(fmt.Sprintf("hosts=%d/services=%d", size.hosts, size.services), func(b *testing.B) {
+			c, _ := newNode(size.hosts, size.services)
+			next := config(size.services)
+			b.ReportAllocs()
+			for b.Loop() {
+				next.Revision++
+				c.Refresh(next, start)
+			}
+		})
+	}
+}
+
 // Measures the cost of a heartbeat period in which nothing changed.
 func BenchmarkRefreshUnchanged840(b *testing.B) {
 	c, _ := newNode(840, 260)
