--- a/_scripts/controlcost/main.go
+++ b/_scripts/controlcost/main.go
@@ -68,10 +68,11 @@
 		return err
 	}
 	f, err := fleetproc.New(ctx, directory, directory)
-	defer f.Close()
 	if err != nil {
+		f.Close()
 		return err
 	}
+	defer f.Close()
 	var heartbeats atomic.Int64
 	peers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -83,14 +84,14 @@
 	if err != nil {
 		return err
 	}
-	before, err := read(n.Process.PID())
+	before, err := read(n.PID())
 	if err != nil {
 		return err
 	}
 	sent := heartbeats.Load()
 	timer := time.NewTimer(window)
 	<-timer.C
-	after, err := read(n.Process.PID())
+	after, err := read(n.PID())
 	if err != nil {
 		return err
 	}
--- a/service/node/latency_test.go
+++ b/service/node/latency_test.go
@@ -12,44 +12,58 @@
 
 const maxLatency = 10 * time.Second
 
-// BenchmarkAddedLatency sends the same request to a backend server directly and through a node, in turn, and reports
-// both distributions and their difference in microseconds.
+// BenchmarkAddedLatency sends the same request to a backend server directly, through a node of the service's group, and
+// through a node that forwards it, in turn. It reports the three distributions and the differences in microseconds.
 func BenchmarkAddedLatency(b *testing.B) {
-	f := newFleet(b, 1, 1)
+	f := newFleet(b, 1, 5)
 	f.apply(b)
-	var backend string
-	for address := range f.Backends {
-		backend = address
+	for _, n := range f.Nodes {
+		await(b, func() bool { return len(n.Members.Group("rental-desk")) == 3 && len(n.Members.Peers()) == 4 })
 	}
-	direct := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
-	through := hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+	outside, inside := split(f)
+	direct := &timed{Name: "direct", URL: "http://" + anyBackend(f) + "/loans/1"}
+	node := &timed{Name: "node", URL: "http://" + inside.Settings.CallerAddress + "/loans/1"}
+	forward := &timed{Name: "forward", URL: "http://" + outside.Settings.CallerAddress + "/loans/1"}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	defer client.CloseIdleConnections()
-	b.ReportAllocs()
+	paths := []*timed{direct, node, forward}
+	for _, p := range paths {
+		p.Histogram = hdrhistogram.New(1, maxLatency.Microseconds(), 3)
+	}
 	for b.Loop() {
-		timeRequest(b, client, direct, "http://"+backend+"/loans/1")
-		timeRequest(b, client, through, "http://"+f.Nodes[0].Settings.CallerAddress+"/loans/1")
+		for _, p := range paths {
+			timeRequest(b, client, p)
+		}
+	}
+	for _, p := range paths {
+		b.ReportMetric(float64(p.Histogram.ValueAtPercentile(50)), p.Name+"-p50-us")
+		b.ReportMetric(float64(p.Histogram.ValueAtPercentile(99)), p.Name+"-p99-us")
 	}
-	report(b, "direct", direct)
-	report(b, "node", through)
-	b.ReportMetric(float64(through.ValueAtPercentile(50)-direct.ValueAtPercentile(50)), "added-p50-us")
-	b.ReportMetric(float64(through.ValueAtPercentile(99)-direct.ValueAtPercentile(99)), "added-p99-us")
 }
 
-func timeRequest(b *testing.B, c *http.Client, h *hdrhistogram.Histogram, url string) {
+// timed is a path of the same request and its latencies in microseconds.
+type timed struct {
+	Name      string
+	URL       string
+	Histogram *hdrhistogram.Histogram
+}
+
+func anyBackend(f *testFleet) string {
+	for address := range f.Backends {
+		return address
+	}
+	return ""
+}
+
+func timeRequest(b *testing.B, c *http.Client, p *timed) {
 	b.Helper()
-	r := newRequest(b, http.MethodGet, url)
+	r := newRequest(b, http.MethodGet, p.URL)
 	begin := time.Now()
 	response, err := c.Do(r)
 	is.New(b).NoErr(err)
 	_, err = io.Copy(io.Discard, response.Body)
 	is.New(b).NoErr(err)
 	is.New(b).NoErr(response.Body.Close())
-	is.New(b).NoErr(h.RecordValue(time.Since(begin).Microseconds()))
+	is.New(b).NoErr(p.Histogram.RecordValue(time.Since(begin).Microseconds()))
 	is.New(b).Equal(response.StatusCode, http.StatusOK)
 }
-
-func report(b *testing.B, name string, h *hdrhistogram.Histogram) {
-	b.ReportMetric(float64(h.ValueAtPercentile(50)), name+"-p50-us")
-	b.ReportMetric(float64(h.ValueAtPercentile(99)), name+"-p99-us")
-}
