--- a/cmd/egretline/cmds/query/register.go
+++ b/cmd/egretline/cmds/query/register.go
@@ -17,6 +17,7 @@
 		&replay{},
 		newCheck(),
 		&report{},
+		&explain{},
 		&show{},
 		&entries{},
 		&version{},
--- a/service/api/operator.go
+++ b/service/api/operator.go
@@ -54,3 +54,19 @@
 	Incarnation string `json:"incarnation"`
 	Peers       []Peer `json:"peers"`
 }
+
+// Explanation is the response of GET /operator/explain: how a node would dispatch a request now.
+type Explanation struct {
+	Route     string              `json:"route"`
+	Service   string              `json:"service"`
+	Rank      string              `json:"rank"`
+	Sentences []string            `json:"sentences"`
+	Servers   []ServerExplanation `json:"backend-servers"`
+}
+
+// ServerExplanation says why one backend server can or cannot get the request.
+type ServerExplanation struct {
+	Address  string `json:"address"`
+	Eligible bool   `json:"eligible"`
+	Sentence string `json:"sentence"`
+}
--- a/service/node/operator.go
+++ b/service/node/operator.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/pprof"
 
+	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/trafficquery"
 	"egretline.example/egretline/service/operatorcmd"
 	"egretline.example/egretline/service/operatorquery"
@@ -16,6 +17,7 @@
 	mux.Handle("POST /operator/drain", &operatorcmd.Drain{Node: n})
 	state := &operatorquery.State{Configuration: n.Config, Members: n.Members, Health: n.healthQuery}
 	state.Register(mux)
+	(&operatorquery.Explain{Configuration: n.Config, Dispatch: &dispatchquery.Queries{Tables: n.Tables}}).Register(mux)
 	(&operatorquery.Config{Folded: n.Config}).Register(mux)
 	(&operatorcmd.Apply{Applier: n.follower}).Register(mux)
 	mux.Handle("GET /metrics", &operatorquery.Metrics{Traffic: &trafficquery.Queries{Traffic: n.Tables.Traffic}})
--- a/service/node/operator_test.go
+++ b/service/node/operator_test.go
@@ -36,6 +36,14 @@
 		assertJSON(t, f.Nodes[0], "/operator/backend-servers?service=other", &got)
 		is.New(t).Equal(len(got.BackendServers), 0)
 	})
+	t.Run("explanation of a request", func(t *testing.T) {
+		var got api.Explanation
+		assertJSON(t, f.Nodes[0], "/operator/explain?method=GET&path=/loans/7", &got)
+		is := is.New(t)
+		is.Equal(got.Route, "view")
+		is.Equal(len(got.Servers), 3)
+		is.True(got.Servers[0].Eligible)
+	})
 	t.Run("peers", func(t *testing.T) {
 		var got api.Peers
 		assertJSON(t, f.Nodes[0], "/operator/peers", &got)
--- a/test/fleetproc/fleet.go
+++ b/test/fleetproc/fleet.go
@@ -51,12 +51,12 @@
 	Operator string
 }
 
-// New starts the log and the host list and waits until both respond.
+// New starts the log and the host list and waits until both respond. The fleet is to be closed after an error too.
 func New(ctx context.Context, bin, directory string) (*Fleet, error) {
 	f := &Fleet{Bin: bin, Directory: directory}
 	free, err := FreeAddresses(2)
 	if err != nil {
-		return nil, err
+		return f, err
 	}
 	f.LogURL = "http://" + free[0]
 	f.HostsURL = "http://" + free[1]
