--- a/pkg/decide/group/group.go
+++ b/pkg/decide/group/group.go
@@ -110,16 +110,6 @@
 	return probers
 }
 
-// SnapshotWriter returns the host that appends snapshots of the configuration to the log, or false if there is none.
-// Views can differ for a while, and two writers are harmless.
-func SnapshotWriter(hosts []fleet.Host) (fleet.Host, bool) {
-	candidates := slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool { return h.Leaving })
-	if len(candidates) == 0 {
-		return fleet.Host{}, false
-	}
-	return rank("snapshot", candidates)[0], true
-}
-
 // rank returns the hosts by descending score for the key.
 func rank(key string, hosts []fleet.Host) []fleet.Host {
 	scored := make([]scoredHost, len(hosts))
--- a/pkg/decide/group/group_test.go
+++ b/pkg/decide/group/group_test.go
@@ -214,18 +214,18 @@
 	})
 }
 
-func TestSnapshotWriter(t *testing.T) {
+func TestOwner(t *testing.T) {
 	is := is.New(t)
 	hosts := evenHosts(3)
-	first, found := SnapshotWriter(hosts)
+	first, found := Owner("snapshot", hosts)
 	is.True(found)
 	for i := range hosts {
 		hosts[i].Leaving = hosts[i].ID == first.ID
 	}
-	second, found := SnapshotWriter(hosts)
+	second, found := Owner("snapshot", hosts)
 	is.True(found)
 	is.True(second.ID != first.ID) // a leaving node must hand the task over
-	_, found = SnapshotWriter(nil)
+	_, found = Owner("snapshot", nil)
 	is.Equal(found, false)
 }
 
