Spread the announcement of a leaving node over a large fleet

Cause: a leaving node told every known host each second, which is 356 KB/s at 840 hosts for the 35 s of its grace. Change: beside its groups it tells 64 other hosts a second, in turn. Result: 27 KB/s (worked out: 64 x 424 bytes); a fleet of up to 64 hosts is still told in one period. The new subtest fails with 32 hosts a second.

--- a/pkg/membercmd/membercmd_test.go
+++ b/pkg/membercmd/membercmd_test.go
@@ -71,23 +71,36 @@
 func TestGroups(t *testing.T) {
 	t.Run("heartbeats go to the other members", func(t *testing.T) {
 		_, q := newNode(4, 1)
-		assertHosts(t, q.HeartbeatTargets(), "h1 h2 h3")
+		assertHosts(t, q.HeartbeatTargets(start), "h1 h2 h3")
 	})
 	t.Run("a node outside all groups sends no heartbeats", func(t *testing.T) {
 		_, q := newNode(400, 0)
-		assertHosts(t, q.HeartbeatTargets(), "")
+		assertHosts(t, q.HeartbeatTargets(start), "")
 	})
 	t.Run("an unreachable member still gets heartbeats and no forwards", func(t *testing.T) {
 		c, q := newNode(4, 1)
 		fail(c, "h1")
 		c.Refresh(config(1), start)
-		assertHosts(t, q.HeartbeatTargets(), "h1 h2 h3")
+		assertHosts(t, q.HeartbeatTargets(start), "h1 h2 h3")
 		is.New(t).Equal(len(q.Targets("s0", start)), 2)
 	})
 	t.Run("a leaving node tells all hosts", func(t *testing.T) {
 		c, q := newNode(50, 0)
 		c.SetLeaving()
-		is.New(t).Equal(len(q.HeartbeatTargets()), 49)
+		is.New(t).Equal(len(q.HeartbeatTargets(start)), 49)
+	})
+	t.Run("a leaving node tells a large fleet in turns", func(t *testing.T) {
+		c, q := newNode(400, 0)
+		c.SetLeaving()
+		told := map[string]bool{}
+		for second := range 7 {
+			targets := q.HeartbeatTargets(start.Add(time.Duration(second) * time.Second))
+			is.New(t).True(len(targets) <= 64)
+			for _, h := range targets {
+				told[h.ID] = true
+			}
+		}
+		is.New(t).Equal(len(told), 399) // a host that is not told keeps the node in its entry responses
 	})
 	t.Run("a member that announces that it leaves is out of the entries before the next refresh", func(t *testing.T) {
 		c, q := newNode(4, 1)
@@ -124,7 +137,7 @@
 	}
 	body, _ := json.Marshal(api.Heartbeat{Host: api.Host(host(0)), Incarnation: member.Incarnation(start, 1)})
 	b.ReportMetric(float64(len(body)), "heartbeat-bytes")
-	b.ReportMetric(float64(len(q.HeartbeatTargets())), "heartbeat-targets")
+	b.ReportMetric(float64(len(q.HeartbeatTargets(start))), "heartbeat-targets")
 }
 
 // BenchmarkRefresh measures the cost of a change of the live hosts by the size of the fleet.
--- a/pkg/memberquery/groups.go
+++ b/pkg/memberquery/groups.go
@@ -1,6 +1,7 @@
 package memberquery
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -61,10 +62,14 @@
 	return s.Host, known && member.Live(m.View, s, now) && !s.Host.Leaving
 }
 
+// leavingTargets is the number of hosts outside its groups that a leaving node tells in one period. At 840 hosts, telling
+// all of them every second would send 356 KB/s.
+const leavingTargets = 64
+
 // HeartbeatTargets returns the hosts that get heartbeats: the other members of the groups that this node is in. Listed
 // hosts that cannot be reached are among them, because only a successful heartbeat brings them back. A leaving node sends
-// to all known hosts, so that each of them takes it out of its entry responses.
-func (q *Queries) HeartbeatTargets() []fleet.Host {
+// to all known hosts, some in each period, so that each of them takes it out of its entry responses.
+func (q *Queries) HeartbeatTargets(now time.Time) []fleet.Host {
 	chosen := map[string]fleet.Host{}
 	q.Tables.Members.Read(guard.Held{}, func(_ guard.Held, m *table.Members) {
 		for _, g := range m.Groups {
@@ -72,8 +77,8 @@
 			addOthers(chosen, g.Candidates, m.Self.ID)
 		}
 		if m.Self.Leaving {
-			for id, s := range m.View.Hosts {
-				chosen[id] = s.Host
+			for _, id := range window(slices.Sorted(maps.Keys(m.View.Hosts)), now) {
+				chosen[id] = m.View.Hosts[id].Host
 			}
 		}
 	})
@@ -85,6 +90,15 @@
 	return targets
 }
 
+// window returns the hosts whose turn it is, so that consecutive seconds cover all of them.
+func window(ids []string, now time.Time) []string {
+	if len(ids) <= leavingTargets {
+		return ids
+	}
+	first := int(now.Unix() * leavingTargets % int64(len(ids)))
+	return slices.Concat(ids[first:], ids[:first])[:leavingTargets]
+}
+
 func addOthers(chosen map[string]fleet.Host, members []fleet.Host, self string) {
 	if !contains(members, self) {
 		return
--- a/service/node/peers.go
+++ b/service/node/peers.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, member.HeartbeatInterval)
 	defer cancel()
 	message := n.heartbeat(now)
-	for _, to := range n.Members.HeartbeatTargets() {
+	for _, to := range n.Members.HeartbeatTargets(now) {
 		if err := n.beats.Submit(ctx, beat{To: to, Message: message}); err != nil {
 			n.Log.Warn().Err(err).Str("to", to.ID).Msg("heartbeat left out")
 		}
