Send probes from a pool of workers

Cause: probes ran one after another in one job, so that 42 silent servers with a timeout of 1 s each held up all others for 42 s. Change: the probe job hands its targets to 8 workers over a bounded queue; what does not fit is left to the next period.

--- a/service/node/health.go
+++ b/service/node/health.go
@@ -20,7 +20,11 @@
 	probePeriod = 5 * time.Second
 	// probeTimeout is far above the 25 ms that a probe usually takes.
 	probeTimeout = time.Second
-	traceMode    = 0o600
+	// probeWorkers bounds the probes that are sent at the same time. One after another, 42 silent servers took 42 s.
+	probeWorkers = 8
+	// probeQueue holds the probes that wait for a worker. Those of a period that do not fit are left to the next one.
+	probeQueue = 16
+	traceMode  = 0o600
 )
 
 // openTrace starts the recorder that the settings ask for.
@@ -77,6 +81,8 @@
 // probe is a periodic job that probes the backend servers about which traffic gives no evidence.
 func (n *Node) probe(ctx context.Context) {
 	now := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, probePeriod)
+	defer cancel()
 	self, _ := n.Members.Self()
 	groups := map[string][]fleet.Host{}
 	for _, target := range n.healthQuery.ProbeTargets(now, n.served()) {
@@ -85,7 +91,9 @@
 			groups[service] = n.Members.Group(service)
 		}
 		if target.Leaving || isProber(self, target, groups[service]) {
-			n.probeOne(ctx, target)
+			if err := n.probes.Submit(ctx, target); err != nil {
+				return
+			}
 		}
 	}
 }
@@ -106,8 +114,8 @@
 	return slices.ContainsFunc(probers, func(h fleet.Host) bool { return h.ID == self.ID })
 }
 
-func (n *Node) probeOne(ctx context.Context, target healthquery.ProbeTarget) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (n *Node) probeOne(target healthquery.ProbeTarget) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	r := n.prober.Probe(ctx, target.Server.Address)
 	if r.Evidence == fleet.Canceled {
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -69,6 +69,7 @@
 	peers     *peer.Client
 	forwarder *peer.Forwarder
 	beats     *pool.Pool[beat]
+	probes    *pool.Pool[healthquery.ProbeTarget]
 	keys      *keycmd.Commands
 
 	certificates certificates
@@ -144,6 +145,7 @@
 	n.peers = &peer.Client{Transport: loaded.peerTransport()}
 	n.follower.Peers = &peer.States{Client: n.peers, Directory: n.Members}
 	n.forwarder = peer.NewForwarder(s.HostID, n.peers.Transport, n.members, s.ForwardWorkers)
+	n.probes = pool.New("probe", probeWorkers, probeQueue, n.probeOne)
 	n.beats = pool.New("heartbeat", heartbeatWorkers, heartbeatQueue, n.sendHeartbeat)
 	calls := n.callHandler()
 	n.handle("caller", n.closing(calls))
@@ -224,6 +226,7 @@
 	closeServers(n.servers)
 	n.forwarder.Close()
 	n.beats.Close()
+	n.probes.Close()
 	n.Dispatcher.Close()
 	n.transport.CloseIdleConnections()
 	n.closeTrace()
