--- a/pkg/decide/fold/fold.go
+++ b/pkg/decide/fold/fold.go
@@ -4,7 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"maps"
 )
@@ -75,7 +74,7 @@
 // Digest returns a digest of the file name and the contents.
 func Digest(file string, contents []byte) string {
 	sum := sha256.Sum256([]byte(file + "\x00" + string(contents)))
-	return hex.EncodeToString(sum[:16])
+	return fmt.Sprintf("%x", sum[:16])
 }
 
 // State is the folded configuration.
