--- a/pkg/configcmd/scale_test.go
+++ b/pkg/configcmd/scale_test.go
@@ -23,7 +23,7 @@
 
 // BenchmarkScale measures what one node spends on a change of the configuration at the size to design for.
 func BenchmarkScale(b *testing.B) {
-	state := scaleState()
+	state := scaleState(services)
 	_, decoded := configcmd.Compile(state, nil)
 	changed := state
 	changed.Files = maps.Clone(state.Files)
@@ -31,7 +31,7 @@
 	b.Run("live heap", func(b *testing.B) {
 		empty := liveHeap()
 		for b.Loop() {
-			s := scaleState()
+			s := scaleState(services)
 			compiled, decoded := configcmd.Compile(s, nil)
 			b.ReportMetric(float64(liveHeap()-empty), "live-bytes")
 			runtime.KeepAlive([]any{s, compiled, decoded})
@@ -61,6 +61,25 @@
 	})
 }
 
+// BenchmarkColdStart measures the start of a node from a snapshot, by the number of services with their part of the
+// backend servers, routes and tenants.
+func BenchmarkColdStart(b *testing.B) {
+	for _, files := range []int{3, 60, services} {
+		b.Run(fmt.Sprintf("services=%d", files), func(b *testing.B) {
+			data := configrecord.EncodeSnapshot(scaleState(files))
+			b.ReportAllocs()
+			for b.Loop() {
+				s, err := configrecord.DecodeSnapshot(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				configcmd.Compile(s, nil)
+			}
+			b.ReportMetric(float64(len(data)), "snapshot-bytes")
+		})
+	}
+}
+
 func liveHeap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -68,14 +87,14 @@
 	return m.HeapAlloc
 }
 
-func scaleState() fold.State {
+func scaleState(files int) fold.State {
 	var s fold.State
-	for i := range services {
+	for i := range files {
 		s, _ = fold.Step(s, s.Next, fold.Apply{
 			ID: fmt.Sprintf("%026d", i), File: fmt.Sprintf("service-%d.toml", i), Contents: scaleFile(i),
 		})
 	}
-	for i := services; i < fold.MaxDecisions; i++ {
+	for i := files; i < fold.MaxDecisions; i++ {
 		s, _ = fold.Step(s, s.Next, fold.Apply{ID: fmt.Sprintf("%026d", i), File: "service-0.toml"})
 	}
 	return s
--- a/pkg/membercmd/membercmd_test.go
+++ b/pkg/membercmd/membercmd_test.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// BenchmarkEntries measures the entries of an entry response by the size of the fleet.
+func BenchmarkEntries(b *testing.B) {
+	for _, size := range []struct{ hosts, services int }{{44, 3}, {200, 60}, {840, 260}} {
+		b.Run(fmt.Sprintf("hosts=%d/services=%d", size.hosts, size.services), func(b *testing.B) {
+			_, q := newNode(size.hosts, size.services)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Entries("s0", "z1", start)
+			}
+		})
+	}
+}
+
 // Measures the cost of a heartbeat period in which nothing changed.
 func BenchmarkRefreshUnchanged840(b *testing.B) {
 	c, _ := newNode(840, 260)
