--- /dev/null
+++ b/internal/node/entrynode/metrics.go
@@ -0,0 +1,60 @@
+package entrynode
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"time"
+
+	"egretline.example/egretline/pkg/dispatchquery"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/pkg/trafficquery"
+)
+
+// Metrics serves counters and latency quantiles as text, one value a line.
+func (n *Node) Metrics() http.Handler {
+	traffic := &trafficquery.Queries{Traffic: n.Tables.Traffic}
+	dispatch := &dispatchquery.Queries{Tables: n.Tables}
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var b bytes.Buffer
+		for _, c := range traffic.Snapshot(0).Classes {
+			labels := fmt.Sprintf("{service=%q,rank=%q", c.Service, c.Rank)
+			fmt.Fprintf(&b, "requests%s,outcome=%q} %d\n", labels, fleet.Answered, c.Outcomes.Answered)
+			fmt.Fprintf(&b, "requests%s,outcome=%q} %d\n", labels, fleet.NotRun, c.Outcomes.NotRun)
+			fmt.Fprintf(&b, "requests%s,outcome=%q} %d\n", labels, fleet.Unknown, c.Outcomes.Unknown)
+			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.5\"} %d\n", labels, c.P50.Milliseconds())
+			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
+		}
+		writeCounts(&b, dispatch)
+		now := time.Now()
+		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
+			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
+		}
+		fmt.Fprintf(&b, "entry-hosts %d\n", len(n.Roster.Entries()))
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = w.Write(b.Bytes()) // a reader that has gone misses one reading
+	})
+}
+
+// writeCounts writes the counters of dispatch.
+func writeCounts(b *bytes.Buffer, q *dispatchquery.Queries) {
+	for _, c := range q.Counts() {
+		labels := fmt.Sprintf("{service=%q,rank=\"%d\"", c.Service, c.Rank)
+		for _, counter := range []struct {
+			name  string
+			value int64
+		}{
+			{"admitted", c.Admitted}, {"attempts", c.Attempts}, {"retries", c.Retries}, {"late", c.Late},
+			{"abandoned", c.Abandoned}, {"displaced", c.Displaced},
+		} {
+			fmt.Fprintf(b, "dispatch-%s%s} %d\n", counter.name, labels, counter.value)
+		}
+		for reason, count := range c.Refused {
+			fmt.Fprintf(b, "dispatch-refused%s,reason=%q} %d\n", labels, reason, count)
+		}
+		for reason, count := range c.Ended {
+			fmt.Fprintf(b, "dispatch-ended%s,reason=%q} %d\n", labels, reason, count)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/entrysettings/entrysettings.go
@@ -0,0 +1,119 @@
+// Package entrysettings reads the settings file of an entry node.
+package entrysettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/rotisserie/eris"
+
+	"egretline.example/egretline/pkg/settings"
+)
+
+// Settings is what an entry node must know before it reads the log.
+type Settings struct {
+	HostID           string `toml:"host-id"`
+	Region           string `toml:"region"`
+	AvailabilityZone string `toml:"availability-zone"`
+
+	CallerAddress    string `toml:"caller-address"`
+	PeerAddress      string `toml:"peer-address"`
+	DirectoryAddress string `toml:"directory-address"`
+	ReadinessAddress string `toml:"readiness-address"`
+	MetricsAddress   string `toml:"metrics-address"`
+	// LogAddress is that of the platform's log.
+	LogAddress string `toml:"log-address"`
+	// Seeds are peer addresses of other hosts, which may be stale.
+	Seeds []string `toml:"seeds"`
+
+	// CPUShare is the part of each core that the node may use, and Cores the number of cores.
+	CPUShare      float64 `toml:"cpu-share"`
+	Cores         float64 `toml:"cores"`
+	BandwidthMbps float64 `toml:"bandwidth-mbps"`
+	MemoryMB      int64   `toml:"memory-mb"`
+
+	// EntryTTL is how long callers may keep an answer of the directory.
+	EntryTTL settings.Duration `toml:"entry-ttl"`
+	// Grace is the time from the request to stop until the process is killed.
+	Grace settings.Duration `toml:"grace"`
+	// RetryRatio and RetryBurst bound the retries of the whole fleet at one service.
+	RetryRatio float64 `toml:"retry-ratio"`
+	RetryBurst int     `toml:"retry-burst"`
+	LogLevel   string  `toml:"log-level"`
+}
+
+// Load reads and checks the settings file. It returns settings.FileError for a file with unknown, missing or malformed
+// keys, and a wrapped os error if the file cannot be read.
+func Load(path string) (Settings, error) {
+	contents, err := os.ReadFile(path) //nolint:gosec // the operator names the file
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return Decode(path, contents)
+}
+
+// Decode checks the contents of a settings file. The path is used in errors only.
+func Decode(path string, contents []byte) (Settings, error) {
+	s := Settings{LogLevel: "info"}
+	d := toml.NewDecoder(bytes.NewReader(contents))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, decodeError(path, err)
+	}
+	return s, check(path, s)
+}
+
+func decodeError(path string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		line, _ := strict.Errors[0].Position()
+		return settings.FileError{
+			Path: path, Line: line, Key: fmt.Sprint(strict.Errors[0].Key()), Remedy: "unknown key; remove it",
+		}
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+		return settings.FileError{Path: path, Line: line, Key: fmt.Sprint(decode.Key()), Remedy: decode.Error()}
+	}
+	return settings.FileError{Path: path, Remedy: err.Error()}
+}
+
+func check(path string, s Settings) error {
+	for _, r := range []struct{ key, value string }{
+		{"host-id", s.HostID},
+		{"availability-zone", s.AvailabilityZone},
+		{"caller-address", s.CallerAddress},
+		{"peer-address", s.PeerAddress},
+		{"directory-address", s.DirectoryAddress},
+		{"readiness-address", s.ReadinessAddress},
+		{"metrics-address", s.MetricsAddress},
+		{"log-address", s.LogAddress},
+	} {
+		if r.value == "" {
+			return settings.FileError{Path: path, Key: r.key, Remedy: "missing; write a value for it"}
+		}
+	}
+	for _, r := range []struct {
+		key string
+		ok  bool
+	}{
+		{"cpu-share", s.CPUShare > 0},
+		{"cores", s.Cores > 0},
+		{"bandwidth-mbps", s.BandwidthMbps > 0},
+		{"memory-mb", s.MemoryMB > 0},
+		{"entry-ttl", s.EntryTTL.Duration > 0},
+		{"grace", s.Grace.Duration > time.Second},
+		{"retry-ratio", s.RetryRatio >= 0 && s.RetryRatio < 1},
+		{"retry-burst", s.RetryBurst >= 0},
+	} {
+		if !r.ok {
+			return settings.FileError{Path: path, Key: r.key, Remedy: "out of range; see docs/OPERATIONS.md"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/peerserver/peerserver.go
@@ -0,0 +1,91 @@
+// Package peerserver receives the messages of other nodes.
+package peerserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/replica/replicaquery"
+	"egretline.example/egretline/internal/roster/rostercmd"
+	"egretline.example/egretline/internal/roster/rosterquery"
+	"egretline.example/egretline/pkg/table"
+)
+
+// maxMessageBytes bounds a message of another node.
+const maxMessageBytes = 1 << 20
+
+// FailureObserver records failures that other nodes saw.
+type FailureObserver interface {
+	ObservePeerFailure(now time.Time, key table.ServerKey, instance string, age time.Duration)
+}
+
+// Server answers other nodes from the tables of this one.
+type Server struct {
+	Hosts    *rostercmd.Commands
+	Roster   *rosterquery.Queries
+	Replicas *replicaquery.Queries
+	Health   FailureObserver
+	Logger   zerolog.Logger
+}
+
+// Handler returns the handler of all paths.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+peerapi.PathSync, s.sync)
+	mux.HandleFunc("POST "+peerapi.PathFailures, s.failures)
+	return mux
+}
+
+func (s *Server) sync(w http.ResponseWriter, r *http.Request) {
+	var m peerapi.SyncRequest
+	if !s.decode(w, r, &m) {
+		return
+	}
+	now := time.Now()
+	s.Hosts.Hear(now, m.From.Announcement())
+	heard, digest := s.Roster.Heard(now)
+	response := peerapi.SyncResponse{
+		From: peerapi.HostMessage(s.Roster.Self()), Topics: map[table.Topic]peerapi.Batch{}, Digest: digest,
+	}
+	for topic, next := range m.Cursors {
+		if b := s.Replicas.Delta(topic, next); !b.AsOf.IsZero() {
+			response.Topics[topic] = peerapi.BatchMessage(b, now)
+		}
+	}
+	if digest != m.Digest {
+		for _, h := range heard {
+			response.Hosts = append(response.Hosts, peerapi.HostMessage(h.Host, h.Ready))
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(response); err != nil {
+		s.Logger.Debug().Err(err).Str("peer", m.From.ID).Msg("response to a node was not delivered")
+	}
+}
+
+func (s *Server) failures(w http.ResponseWriter, r *http.Request) {
+	var m peerapi.Failures
+	if !s.decode(w, r, &m) {
+		return
+	}
+	now := time.Now()
+	s.Hosts.Hear(now, m.From.Announcement())
+	for _, f := range m.Failures {
+		key := table.ServerKey{Service: f.Service, Address: f.Address}
+		s.Health.ObservePeerFailure(now, key, f.Instance, time.Duration(f.AgeMs)*time.Millisecond)
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, m any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(m)
+	if err != nil {
+		s.Logger.Warn().Err(err).Str("path", r.URL.Path).Msg("message of a node cannot be read")
+		w.WriteHeader(http.StatusBadRequest)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/internal/roster/rostercmd/rostercmd.go
@@ -0,0 +1,130 @@
+// Package rostercmd records what the node hears of other hosts. It changes the Roster table.
+package rostercmd
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/internal/decide/roster"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// ownWord is how long what a host said of itself outweighs what registrars say of it, which they may have heard before.
+const ownWord = 2 * time.Second
+
+// Commands changes the Roster table of one node.
+type Commands struct {
+	Tables *table.Tables
+	Logger zerolog.Logger
+}
+
+// New returns the commands of one node.
+func New(t *table.Tables, logger zerolog.Logger) *Commands {
+	return &Commands{Tables: t, Logger: logger}
+}
+
+// Announcement is what a host says of itself, or a registrar of it.
+type Announcement struct {
+	Host  fleet.Host
+	Ready bool
+}
+
+// SetReady records whether the node itself can serve callers.
+func (c *Commands) SetReady(ready bool) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) { r.Ready = ready })
+}
+
+// SetLeaving records that the node itself is leaving.
+func (c *Commands) SetLeaving() {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) { r.Self.Leaving = true })
+}
+
+// Hear records that a host spoke to the node or answered it.
+func (c *Commands) Hear(now time.Time, a Announcement) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		if s := stateOf(r, a); s != nil {
+			s.Heard = now
+		}
+	})
+}
+
+// Tell records the hosts that a registrar has heard itself.
+func (c *Commands) Tell(now time.Time, list []Announcement) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		for _, a := range list {
+			if s, known := r.Hosts[a.Host.ID]; known && now.Sub(s.Heard) < ownWord {
+				continue
+			}
+			if s := stateOf(r, a); s != nil {
+				s.Told = now
+			}
+		}
+	})
+}
+
+// Learn records hosts that may exist, without a sign of life.
+func (c *Commands) Learn(list []Announcement) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		for _, a := range list {
+			if _, known := r.Hosts[a.Host.ID]; !known {
+				stateOf(r, a)
+			}
+		}
+	})
+}
+
+// Fail records that a contact with the host failed.
+func (c *Commands) Fail(now time.Time, id string) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		if s, known := r.Hosts[id]; known {
+			s.Failed = now
+		}
+	})
+}
+
+// stateOf returns the state of the host with what the announcement says of it, or nil for the node itself.
+func stateOf(r *table.Roster, a Announcement) *roster.State {
+	if a.Host.ID == r.Self.ID || a.Host.ID == "" {
+		return nil
+	}
+	s, known := r.Hosts[a.Host.ID]
+	if !known {
+		s = &roster.State{}
+		r.Hosts[a.Host.ID] = s
+	}
+	s.Host, s.Ready = a.Host, a.Ready
+	return s
+}
+
+// Refresh chooses the hosts that callers are sent to. The load is given in the unit of the capacities of hosts.
+func (c *Commands) Refresh(now time.Time, load float64) {
+	var before, after []fleet.Host
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		var live []fleet.Host
+		if r.Ready && !r.Self.Leaving {
+			live = append(live, r.Self)
+		}
+		for _, s := range r.Hosts {
+			if s.Ready && roster.Live(*s, now) {
+				live = append(live, s.Host)
+			}
+		}
+		before, after = r.Entries, roster.Entries(live, load)
+		r.Entries = after
+	})
+	if !slices.EqualFunc(before, after, func(a, b fleet.Host) bool { return a.ID == b.ID }) {
+		c.Logger.Info().Strs("before", ids(before)).Strs("after", ids(after)).Msg("entry hosts changed")
+	}
+}
+
+func ids(hosts []fleet.Host) []string {
+	list := make([]string, len(hosts))
+	for i, h := range hosts {
+		list[i] = h.ID
+	}
+	return list
+}
--- /dev/null
+++ b/internal/roster/rosterquery/rosterquery.go
@@ -0,0 +1,99 @@
+// Package rosterquery reads what the node knows of the hosts of the fleet.
+package rosterquery
+
+import (
+	"cmp"
+	"hash/fnv"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"egretline.example/egretline/internal/decide/roster"
+	"egretline.example/egretline/pkg/decide/group"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// Queries reads the Roster table of one node.
+type Queries struct {
+	Tables *table.Tables
+}
+
+// Self returns the node's own host and whether it is ready.
+func (q *Queries) Self() (self fleet.Host, ready bool) {
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) { self, ready = r.Self, r.Ready })
+	return self, ready
+}
+
+// Entries returns the hosts that callers are sent to. The caller must not change the slice.
+func (q *Queries) Entries() (entries []fleet.Host) {
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) { entries = r.Entries })
+	return entries
+}
+
+// EntriesFor returns the hosts that a caller in the availability zone is sent to: those in its zone, or all if there are
+// none in it.
+func (q *Queries) EntriesFor(zone string) []fleet.Host {
+	entries := q.Entries()
+	var near []fleet.Host
+	for _, h := range entries {
+		if h.AvailabilityZone == zone {
+			near = append(near, h)
+		}
+	}
+	if len(near) == 0 {
+		return group.Order(entries, zone)
+	}
+	return near
+}
+
+// Registrars returns the other hosts that spread state.
+func (q *Queries) Registrars() []fleet.Host {
+	self, _ := q.Self()
+	others := slices.Clone(roster.Registrars(q.Entries()))
+	return slices.DeleteFunc(others, func(h fleet.Host) bool { return h.ID == self.ID })
+}
+
+// IsRegistrar says whether the node itself spreads state.
+func (q *Queries) IsRegistrar() bool {
+	self, _ := q.Self()
+	return slices.ContainsFunc(roster.Registrars(q.Entries()), func(h fleet.Host) bool { return h.ID == self.ID })
+}
+
+// Known returns all other hosts that may exist, those heard last first.
+func (q *Queries) Known() []fleet.Host {
+	var states []roster.State
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		for _, s := range r.Hosts {
+			states = append(states, *s)
+		}
+	})
+	slices.SortFunc(states, func(a, b roster.State) int {
+		return cmp.Or(b.Heard.Compare(a.Heard), cmp.Compare(a.Host.ID, b.Host.ID))
+	})
+	hosts := make([]fleet.Host, len(states))
+	for i, s := range states {
+		hosts[i] = s.Host
+	}
+	return hosts
+}
+
+// Heard returns the hosts that the node itself has heard lately, sorted by ID, and a digest of the list.
+func (q *Queries) Heard(now time.Time) ([]roster.State, uint64) {
+	var list []roster.State
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		for _, s := range r.Hosts {
+			if roster.HeardDirectly(*s, now) {
+				list = append(list, *s)
+			}
+		}
+	})
+	slices.SortFunc(list, func(a, b roster.State) int { return cmp.Compare(a.Host.ID, b.Host.ID) })
+	digest := fnv.New64a()
+	for _, s := range list {
+		_, _ = io.WriteString(digest, s.Host.ID+" "+s.Host.PeerAddress+" "+strconv.FormatBool(s.Ready)+strconv.FormatBool(s.Host.Leaving)+"\n")
+	}
+	return list, digest.Sum64()
+}
--- a/pkg/configfile/build.go
+++ b/pkg/configfile/build.go
@@ -57,7 +57,9 @@
 		built.Preference = fleet.Balanced
 	}
 	for _, b := range s.BackendServers {
-		built.BackendServers = append(built.BackendServers, fleet.BackendServer(b))
+		built.BackendServers = append(built.BackendServers, fleet.BackendServer{
+			Address: b.Address, AvailabilityZone: b.AvailabilityZone, Slots: b.Slots, Connections: b.Connections,
+		})
 	}
 	return built
 }
--- a/pkg/decide/admission/choose.go
+++ b/pkg/decide/admission/choose.go
@@ -9,6 +9,10 @@
 	Limit       Limit
 	// Trial says that the server is out of use and due for a trial request.
 	Trial bool
+	// Avoided says that the server failed a short time ago, so that any other one goes first.
+	Avoided bool
+	// Detour is the load, in outstanding requests, that another server may have more before this one is preferred.
+	Detour int
 }
 
 // Free says that one more request may go to the server.
@@ -48,8 +52,11 @@
 	if at, bt := slices.Contains(tried, a.Address), slices.Contains(tried, b.Address); at != bt {
 		return bt
 	}
-	if a.Outstanding != b.Outstanding {
-		return a.Outstanding < b.Outstanding
+	if a.Avoided != b.Avoided {
+		return b.Avoided
+	}
+	if la, lb := a.Outstanding+a.Detour, b.Outstanding+b.Detour; la != lb {
+		return la < lb
 	}
 	return tie(request, a.Address) < tie(request, b.Address)
 }
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -33,6 +33,9 @@
 	rateWindow = 10 * time.Second
 	// minWeight keeps a single failure of a server with little traffic from counting as a high failure rate.
 	minWeight = 5
+	// maxSum bounds the sum where the threshold does not, so that a server that was down for long needs no more than some
+	// twenty successes to clear it.
+	maxSum = 2 * thresholdFewer
 	// latencyGain is the weight of one response in the smoothed latency.
 	latencyGain = 0.1
 	// RecentSuccess is how long a successful response proves that a server works.
@@ -55,6 +58,8 @@
 		t.Threshold = thresholdFaster
 	case fleet.FewerFalseEjections:
 		t.Threshold = thresholdFewer
+	case fleet.AvoidOnly:
+		t.Threshold = math.Inf(1)
 	}
 	return t
 }
@@ -69,6 +74,7 @@
 	SignSlow        Sign = "slow"
 	SignStalled     Sign = "stalled"
 	SignProbe       Sign = "probe"
+	SignPeer        Sign = "reported by a peer"
 )
 
 // State is what one member knows about the health of one backend server.
@@ -181,7 +187,7 @@
 	s.LastSign = sign
 	up, _ := steps(b)
 	// The cap makes servers that fail together equal, so that none of them is an outlier of the pool.
-	s.Sum = min(s.Sum+weight*up, 2*t.Threshold)
+	s.Sum = min(s.Sum+weight*up, 2*t.Threshold, maxSum)
 }
 
 // observeProbe counts a failed probe with low weight. A successful one never outweighs failures of real requests, because
--- a/pkg/decide/group/group.go
+++ b/pkg/decide/group/group.go
@@ -98,7 +98,7 @@
 // different availability zones, or one if all members share a zone.
 func Probers(address string, members []fleet.Host) []fleet.Host {
 	var probers []fleet.Host
-	for _, h := range rank(address, members) {
+	for _, h := range Rank(address, members) {
 		if len(probers) == 0 {
 			probers = append(probers, h)
 			continue
@@ -110,8 +110,8 @@
 	return probers
 }
 
-// rank returns the hosts by descending score for the key.
-func rank(key string, hosts []fleet.Host) []fleet.Host {
+// Rank returns the hosts by descending score for the key.
+func Rank(key string, hosts []fleet.Host) []fleet.Host {
 	scored := make([]scoredHost, len(hosts))
 	for i := range hosts {
 		scored[i] = scoredHost{host: &hosts[i], score: score(key, &hosts[i])}
--- a/pkg/decide/group/group_test.go
+++ b/pkg/decide/group/group_test.go
@@ -81,7 +81,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		hosts, s := drawHosts(t), drawService(t)
 		var first, rest []fleet.Host
-		for _, h := range rank(s.Name, hosts) {
+		for _, h := range Rank(s.Name, hosts) {
 			if zones(first)[h.AvailabilityZone] {
 				rest = append(rest, h)
 			} else {
--- a/pkg/decide/group/owner.go
+++ b/pkg/decide/group/owner.go
@@ -14,5 +14,5 @@
 	if len(eligible) == 0 {
 		return fleet.Host{}, false
 	}
-	return rank(key, eligible)[0], true
+	return Rank(key, eligible)[0], true
 }
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -15,19 +15,41 @@
 	BudgetCap           = 10.0
 )
 
+// Terms are the parameters of a retry budget.
+type Terms struct {
+	// Earn is the part of a retry that a first attempt earns.
+	Earn float64
+	// Cap is the highest balance.
+	Cap float64
+	// UnsentFree says that a retry is free if no byte of the attempt was sent. It suits a budget that bounds arrivals at
+	// backend servers.
+	UnsentFree bool
+}
+
+// DefaultTerms returns the terms of a node that shares the budget with nobody.
+func DefaultTerms() Terms {
+	return Terms{Earn: EarnPerFirstAttempt, Cap: BudgetCap}
+}
+
 // Budget bounds the retries of one service at one node.
 type Budget struct {
 	Balance float64
+	Terms   Terms
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a full budget with the default terms.
 func NewBudget() Budget {
-	return Budget{Balance: BudgetCap}
+	return NewBudgetOf(DefaultTerms())
+}
+
+// NewBudgetOf returns a full budget.
+func NewBudgetOf(t Terms) Budget {
+	return Budget{Balance: t.Cap, Terms: t}
 }
 
 // Earn adds the part of a retry that a first attempt earns.
 func Earn(b *Budget) {
-	b.Balance = min(b.Balance+EarnPerFirstAttempt, BudgetCap)
+	b.Balance = min(b.Balance+b.Terms.Earn, b.Terms.Cap)
 }
 
 // Attempt describes a finished attempt.
@@ -42,6 +64,10 @@
 	BodyLost bool
 	// Left is the time until the deadline, which covers all attempts.
 	Left time.Duration
+	// Runs is the number of attempts, this one included, that may have run the request.
+	Runs int
+	// MaxRuns bounds Runs; zero means that only the budget does.
+	MaxRuns int
 }
 
 // Reason says why a request is or is not attempted again.
@@ -61,6 +87,8 @@
 	BodyLost Reason = "body-lost"
 	// DeadlinePassed means that no time is left.
 	DeadlinePassed Reason = "deadline-passed"
+	// RunsSpent means that as many backend servers may have run the request as its route allows.
+	RunsSpent Reason = "runs-spent"
 	// BudgetSpent means that the service has no retries left.
 	BudgetSpent Reason = "retry-budget-spent"
 )
@@ -78,6 +106,10 @@
 		return PossiblyRun
 	case a.BodyLost:
 		return BodyLost
+	case a.MaxRuns > 0 && a.Runs >= a.MaxRuns:
+		return RunsSpent
+	case b.Terms.UnsentFree && !a.Sent:
+		return Allowed
 	case b.Balance < CostPerRetry:
 		return BudgetSpent
 	}
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -104,7 +104,7 @@
 	}
 	var chosen *table.Backend
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
-		chosen = choose(servers, i.Payload, now)
+		chosen = choose(servers, i.Payload, d.AvailabilityZone, now)
 		return chosen != nil
 	})
 	for _, i := range picked.Late {
@@ -139,7 +139,7 @@
 }
 
 // choose returns the server for the ticket, or nil if it has to wait.
-func choose(servers map[string]*table.Backend, t *table.Ticket, now time.Time) *table.Backend {
+func choose(servers map[string]*table.Backend, t *table.Ticket, zone string, now time.Time) *table.Backend {
 	candidates := make([]admission.Server, 0, len(servers))
 	for _, address := range slices.Sorted(maps.Keys(servers)) {
 		s := servers[address]
@@ -147,6 +147,7 @@
 		if use != healthquery.NoUse {
 			candidates = append(candidates, admission.Server{
 				Address: address, Outstanding: s.Outstanding, Limit: s.Limit, Trial: use == healthquery.TrialUse,
+				Avoided: avoided(s, now), Detour: detour(s, t, zone),
 			})
 		}
 	}
@@ -156,3 +157,25 @@
 	}
 	return servers[candidates[n].Address]
 }
+
+// avoided says that other servers go first: the server failed a short time ago, or it failed and has not yet succeeded
+// with the one request that it got since.
+func avoided(s *table.Backend, now time.Time) bool {
+	switch detect.AvoidanceOf(&s.State, now) {
+	case detect.Avoid:
+		return true
+	case detect.Probation:
+		return s.Outstanding > 0
+	default:
+		return false
+	}
+}
+
+// detour returns what the way to another zone costs a large response. It crosses zones only if the servers of the node's
+// zone have all slots taken.
+func detour(s *table.Backend, t *table.Ticket, zone string) int {
+	if !t.Bulk || zone == "" || s.Server.AvailabilityZone == zone {
+		return 0
+	}
+	return s.Server.Slots
+}
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/pool"
@@ -27,6 +28,8 @@
 	Tables  *table.Tables
 	Health  HealthObserver
 	Workers int
+	// AvailabilityZone is that of the node; empty if requests have no preference for a zone.
+	AvailabilityZone string
 
 	exchange *pool.Pool[table.Assignment]
 	// idle is closed when the dispatcher is closing and no request is open.
@@ -35,12 +38,28 @@
 
 // New returns a dispatcher over the tables that runs at most the given number of requests at the same time.
 func New(t *table.Tables, health HealthObserver, workers int) *Dispatcher {
-	d := &Dispatcher{Tables: t, Health: health, Workers: workers, idle: make(chan struct{})}
+	d := &Dispatcher{
+		Tables: t, Health: health, Workers: workers, idle: make(chan struct{}),
+	}
 	// Assign never hands out more than one assignment for each worker, so the queue cannot fill.
 	d.exchange = pool.New("exchange", workers, workers, d.run)
 	return d
 }
 
+// SetRetries sets the terms of the retry budgets of all services.
+func (d *Dispatcher) SetRetries(t retry.Terms) {
+	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
+		if b.Terms == t {
+			return
+		}
+		b.Terms = t
+		for _, budget := range b.Services {
+			budget.Terms = t
+			budget.Balance = min(budget.Balance, t.Cap)
+		}
+	})
+}
+
 // Close takes no more requests, and waits until all admitted ones, those that wait among them, have their result.
 func (d *Dispatcher) Close() {
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -1,6 +1,7 @@
 package dispatchcmd
 
 import (
+	"context"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
@@ -15,7 +16,7 @@
 	t := a.Ticket
 	started := time.Now()
 	d.Health.Started(started, a)
-	r := t.Runner.Send(t.Context, a.Server)
+	r := d.send(a)
 	d.Health.Responded(time.Now(), a, r)
 	reason := d.decide(a, r)
 	if reason == retry.Allowed {
@@ -29,6 +30,18 @@
 	d.settle(t, r)
 }
 
+// send sends the request. An attempt that may be followed by another one is cut off when its patience ends, so that a
+// stalled server does not use up the time of a request that another server could still answer.
+func (d *Dispatcher) send(a table.Assignment) table.Result {
+	t := a.Ticket
+	if t.Patience == 0 || !t.Idempotent || t.MaxRuns > 0 && t.Runs+1 >= t.MaxRuns {
+		return t.Runner.Send(t.Context, a.Server)
+	}
+	ctx, cancel := context.WithTimeout(t.Context, t.Patience)
+	defer cancel()
+	return t.Runner.Send(ctx, a.Server)
+}
+
 // end delivers the response, or discards the attempt and says what became of the request.
 func (d *Dispatcher) end(a table.Assignment, r table.Result, reason retry.Reason) table.Result {
 	t := a.Ticket
@@ -48,6 +61,14 @@
 	return r
 }
 
+// mayRun is 1 if the attempt may have run the request, and else 0.
+func mayRun(r table.Result) int {
+	if retry.Refused(retry.Attempt{Evidence: r.Evidence, Sent: r.Sent}) {
+		return 0
+	}
+	return 1
+}
+
 func attempt(a table.Assignment, r table.Result, left time.Duration) retry.Attempt {
 	return retry.Attempt{
 		Evidence:   r.Evidence,
@@ -56,6 +77,8 @@
 		MaybeRun:   a.Ticket.MaybeRun,
 		BodyLost:   r.BodyLost,
 		Left:       left,
+		Runs:       a.Ticket.Runs + mayRun(r),
+		MaxRuns:    a.Ticket.MaxRuns,
 	}
 }
 
@@ -70,7 +93,7 @@
 	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
 		budget, ok := b.Services[t.Service]
 		if !ok {
-			full := retry.NewBudget()
+			full := retry.NewBudgetOf(b.Terms)
 			budget = &full
 			b.Services[t.Service] = budget
 		}
@@ -98,6 +121,7 @@
 	t.Attempt++
 	t.Tried = append(t.Tried, a.Server.Address)
 	t.MaybeRun = t.MaybeRun || !retry.Refused(attempt(a, r, 0))
+	t.Runs += mayRun(r)
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
 		admission.Push(queueOf(q, t.Service), item(t))
 	})
--- /dev/null
+++ b/pkg/dispatchcmd/split.go
@@ -0,0 +1,25 @@
+package dispatchcmd
+
+import (
+	"egretline.example/egretline/internal/decide/split"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// ServiceOf returns the service of the next request of the route.
+func (d *Dispatcher) ServiceOf(r fleet.Route) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	var service string
+	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		s, known := q.Splits[r.Name]
+		if !known {
+			s = &split.State{}
+			q.Splits[r.Name] = s
+		}
+		service = split.Next(s, r.Split)
+	})
+	return service
+}
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -15,12 +15,18 @@
 	FewerFalseEjections Preference = "fewer-false-ejections"
 	Balanced            Preference = "balanced"
 	FasterDetection     Preference = "faster-detection"
+	// AvoidOnly means that no server is ejected. Dispatch prefers others for a short time after a failure. It suits pools
+	// whose servers fail for seconds at a time and get hardly any idempotent request that could serve as a trial.
+	AvoidOnly Preference = "avoid-only"
 )
 
 // BackendServer is one server of a service. Nothing of egretline runs on it.
 type BackendServer struct {
 	// Address is IP:port, and identifies the server within its service.
-	Address          string
+	Address string
+	// Instance identifies one run of the server. It is empty if the servers do not state one. A server that is named in a
+	// request refuses the request if it is another instance.
+	Instance         string
 	AvailabilityZone string
 	// Slots is the number of requests that the server runs at the same time.
 	Slots int
@@ -52,12 +58,23 @@
 
 // Route maps requests to a service and a rank.
 type Route struct {
-	Name       string
-	Service    string
+	Name    string
+	Service string
+	// Split lists the services that share the route's requests by weight. If it is not empty, Service is not used.
+	Split []WeightedService
+	// Host is the host name that callers address. It is empty if the route holds for all of them.
+	Host string
+	// Method is empty if the route holds for all methods.
 	Method     string
 	PathPrefix string
 	Rank       string
 	Idempotent bool
+	// Bulk says that responses are large, so that the availability zone of the backend server matters.
+	Bulk bool
+	// MaxRuns is the number of backend servers that may run one request; zero means no limit but the retry budget.
+	MaxRuns int
+	// Target is the time within which a response is worth most to the caller; zero if none is stated.
+	Target time.Duration
 	// Timeout bounds all attempts of one request together.
 	Timeout time.Duration
 	// Refusal says why requests of the route are refused as not run. It is empty if the route can be served. Merging sets
@@ -65,8 +82,15 @@
 	Refusal string
 }
 
+// WeightedService is the part of a route's requests that goes to one service.
+type WeightedService struct {
+	Service string
+	Weight  int
+}
+
 // RouteKey is what identifies a route towards callers.
 type RouteKey struct {
+	Host       string
 	Method     string
 	PathPrefix string
 }
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -45,7 +45,7 @@
 	for _, server := range service.BackendServers {
 		current[server.Address] = true
 		s := servers[server.Address]
-		if s == nil || s.LeavingReason == table.LeavingRemoved {
+		if s == nil || s.LeavingReason == table.LeavingRemoved || s.Server.Instance != server.Instance {
 			s = join(s, known, now)
 			servers[server.Address] = s
 		}
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"egretline.example/egretline/internal/decide/split"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/retry"
 )
@@ -17,6 +18,8 @@
 	// Closing says that no more requests are admitted.
 	Closing bool
 	Counts  map[CountKey]*Counts
+	// Splits is the account of each route whose requests several services share, by the route's name.
+	Splits map[string]*split.State
 }
 
 // CountKey names the requests that are counted together.
@@ -47,6 +50,8 @@
 
 // Budgets is the retry budget of each service.
 type Budgets struct {
+	// Terms are those of a new budget.
+	Terms    retry.Terms
 	Services map[string]*retry.Budget
 }
 
@@ -55,6 +60,7 @@
 		Services: map[string]*admission.Queue[*Ticket]{},
 		Tenants:  map[TenantRank]*admission.Usage{},
 		Counts:   map[CountKey]*Counts{},
+		Splits:   map[string]*split.State{},
 	}
 }
 
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"egretline.example/egretline/internal/decide/roster"
 	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
@@ -15,7 +16,9 @@
 // Lock order of the tables: a goroutine takes locks in ascending rank.
 const (
 	RankConfig guard.Rank = iota + 1
+	RankReplicas
 	RankMembers
+	RankRoster
 	RankBackends
 	RankQueues
 	RankKeys
@@ -26,7 +29,9 @@
 // Tables is the shared state of one node.
 type Tables struct {
 	Config   *guard.Guard[Config]
+	Replicas *guard.Guard[Replicas]
 	Members  *guard.Guard[Members]
+	Roster   *guard.Guard[Roster]
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
 	Keys     *guard.Guard[Keys]
@@ -38,12 +43,14 @@
 func New(self fleet.Host, incarnation string) *Tables {
 	return &Tables{
 		Config:   guard.New(RankConfig, Config{}),
+		Replicas: guard.New(RankReplicas, newReplicas()),
 		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
+		Roster:   guard.New(RankRoster, Roster{Self: self, Hosts: map[string]*roster.State{}}),
 		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, newQueues()),
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
-		Budgets:  guard.New(RankBudgets, Budgets{Services: map[string]*retry.Budget{}}),
+		Budgets:  guard.New(RankBudgets, Budgets{Terms: retry.DefaultTerms(), Services: map[string]*retry.Budget{}}),
 	}
 }
 
@@ -79,8 +86,14 @@
 	// Limits are those of the tenant.
 	Limits     fleet.Limits
 	Idempotent bool
-	Arrived    time.Time
-	Deadline   time.Time
+	// Bulk says that the response is large, so that a backend server in the node's availability zone is preferred.
+	Bulk bool
+	// MaxRuns bounds the attempts that may run the request; zero means no bound but the retry budget.
+	MaxRuns int
+	// Patience is how long an attempt may take while another one is still possible; zero means until the deadline.
+	Patience time.Duration
+	Arrived  time.Time
+	Deadline time.Time
 	// Context ends at the deadline or when the caller gives up.
 	Context context.Context
 	Runner  Runner
@@ -92,6 +105,8 @@
 	Attempt    int
 	// Tried lists the addresses of earlier attempts.
 	Tried []string
+	// Runs is the number of earlier attempts that may have run the request.
+	Runs int
 	// MaybeRun says that an earlier attempt may have run the request.
 	MaybeRun bool
 }
