Deliver a response after the context of its attempt has ended

Cause: the context that bounds one attempt also aborted the connection, so that bodies over 256 KB were cut and no connection was used again. Ruled out: the caller's write deadline and the size of the held body.

--- /dev/null
+++ b/internal/backend/http1/assert_test.go
@@ -0,0 +1,121 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/internal/http/dialect"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
+)
+
+var testHeaders = dialect.Headers{
+	RequestID: "Request-Id", Deadline: "Deadline", ExpectInstance: "Expect-Instance", NotExecuted: "Not-Executed",
+	Signature: "Signature",
+}
+
+// backend is a TCP server that runs one function for each connection.
+type backend struct {
+	Server fleet.BackendServer
+	// Connections is the number of connections that were accepted.
+	Connections chan struct{}
+}
+
+// newBackend serves connections until the test ends.
+func newBackend(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) *backend {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{Server: fleet.BackendServer{Address: l.Addr().String(), Instance: "i-1"}, Connections: make(chan struct{}, 64)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.Connections <- struct{}{}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return b
+}
+
+// response is the text of a response to the request with the ID.
+func response(id, status string, body string, headers ...string) string {
+	lines := append([]string{"HTTP/1.1 " + status, "Request-Id: " + id, "Signature: s", "Content-Length: " + strconv.Itoa(len(body))}, headers...)
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+// answering answers each request with what reply returns for its ID.
+func answering(reply func(id string) string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, q.Body)
+			if _, err := io.WriteString(c, reply(q.Header.Get("Request-Id"))); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// exchange returns an exchange of a new request and the recorder of its response.
+func exchange(p *Pool, id string, idempotent bool) (*Exchange, *httptest.ResponseRecorder) {
+	in := httptest.NewRequest(http.MethodGet, "/a/b?c=d", nil)
+	w := httptest.NewRecorder()
+	return &Exchange{
+		Pool: p, Headers: testHeaders, Request: in, Writer: w, RequestID: id, Idempotent: idempotent,
+		Due: time.Now().Add(10 * time.Second),
+	}, w
+}
+
+// sendAndDeliver does what the dispatcher does with an exchange: the context of the attempt ends before the delivery.
+func sendAndDeliver(e *Exchange, s fleet.BackendServer) table.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	r := e.Send(ctx, s)
+	cancel()
+	if !r.Response {
+		e.Discard()
+		return r
+	}
+	return e.Deliver(context.Background())
+}
+
+func assertAnswered(t *testing.T, r table.Result, w *httptest.ResponseRecorder, body string) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(r.Err)
+	is.Equal(r.Outcome, fleet.Answered)
+	is.True(w.Body.String() == body)
+}
+
+func assertFailed(t *testing.T, r table.Result, e fleet.Evidence, sent bool) {
+	t.Helper()
+	is := is.New(t)
+	is.True(r.Err != nil)
+	is.Equal(r.Evidence, e)
+	is.Equal(r.Sent, sent)
+	is.True(!r.Response)
+}
+
+func assertConnections(t *testing.T, b *backend, want int) {
+	t.Helper()
+	is.New(t).Equal(len(b.Connections), want)
+}
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -105,6 +105,10 @@
 	if err := e.hold(); err != nil {
 		return e.broken(ctx, s, stageBody, true, started, err)
 	}
+	// The context of the attempt may end before the response is delivered, which has a context of its own.
+	if !e.stop() {
+		return e.broken(ctx, s, stageBody, true, started, context.Cause(ctx))
+	}
 	return result
 }
 
@@ -282,6 +286,7 @@
 	if r.Status >= http.StatusInternalServerError {
 		r.Evidence = fleet.Failed
 	}
+	e.stop = context.AfterFunc(ctx, e.conn.Abort)
 	e.copyHeader()
 	e.Writer.WriteHeader(r.Status)
 	if err := e.deliverBody(ctx, &r); err != nil {
@@ -339,9 +344,7 @@
 func (e *Exchange) finish() {
 	c := e.conn
 	e.conn = nil
-	if !e.stop() {
-		return
-	}
+	e.stop()
 	if e.response.Close || !e.uploaded() {
 		c.Close()
 		return
--- a/pkg/configquery/query.go
+++ b/pkg/configquery/query.go
@@ -44,15 +44,15 @@
 // segment boundary, so that /loan does not match /loans. It looks up each prefix of the path, longest first, so that
 // its time depends on the path and not on the number of routes.
 func Match(c *fleet.Configuration, method, path string) (fleet.Route, bool) {
-	return longest(c, fleet.RouteKey{Method: method}, path)
+	return longestMatch(c, fleet.RouteKey{Method: method}, path)
 }
 
 // MatchHost returns the most specific route of the configuration for the host name and path, whatever the method is.
 func MatchHost(c *fleet.Configuration, host, path string) (fleet.Route, bool) {
-	return longest(c, fleet.RouteKey{Host: host}, path)
+	return longestMatch(c, fleet.RouteKey{Host: host}, path)
 }
 
-func longest(c *fleet.Configuration, key fleet.RouteKey, path string) (fleet.Route, bool) {
+func longestMatch(c *fleet.Configuration, key fleet.RouteKey, path string) (fleet.Route, bool) {
 	for prefix := path; prefix != ""; prefix = shorter(prefix) {
 		key.PathPrefix = prefix
 		if i, found := c.RouteIndex[key]; found {
