Avoid backend servers that fail before they can have worked

Cause: at any time about a third of the servers fails some 80% of its requests within 5 ms for 7 to 13 s while others go on; the least outstanding requests made them attract work. Failures of single requests take the usual time of the work. Change: a fast failure, also one that a peer saw, takes a server out of dispatch for 6.5 s, then one trial at a time; shorter while the service loses many requests, because the floor counts such servers.

--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -1,57 +1,130 @@
 package detect
 
-import "time"
+import (
+	"time"
 
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// A server that fails a part of its requests while its health check passes mostly does so for several seconds, and fails
+// at once, before it has done any work. A failure after the usual time of the work is more likely that of one request.
 const (
-	// avoidSum is the sum from which a server is avoided: one failure in a pool that is healthy.
-	avoidSum = 2.5
-	// firstAvoidance is how long a server is avoided after one failure. It doubles with each further failure that the sum
-	// holds. A server that fails in phases of seconds is tried again within its phase a few times only.
-	firstAvoidance = 1500 * time.Millisecond
-	// longestAvoidance bounds the time without evidence about a server that may have recovered.
-	longestAvoidance = 6 * time.Second
+	// fastRatio is the part of the typical latency below which a failure came too soon for any work to be done.
+	fastRatio = 8
+	// defaultFast stands in for it until the latency of the pool is known.
+	defaultFast = 25 * time.Millisecond
+	// fastHold is how long a server is avoided from the first fast failure of a phase, and fastRetry after each further one.
+	fastHold  = 6500 * time.Millisecond
+	fastRetry = 2200 * time.Millisecond
+	// phaseTime is how long after its first failure a further one counts to the same phase.
+	phaseTime = 14 * time.Second
+	// slowPair is the time within which two slow failures lead to an avoidance, of slowHold.
+	slowPair = 3 * time.Second
+	slowHold = 1500 * time.Millisecond
+	// unreachableHold is how long a server is avoided after a connection could not be made. It doubles with each further
+	// failure, up to the longest one.
+	unreachableHold    = time.Second
+	longestUnreachable = 4 * time.Second
+	// distressHold is how long a server is avoided while the service loses many requests. Its floor counts servers that
+	// have not failed for two seconds as healthy, and then they have to get requests.
+	distressHold = 1500 * time.Millisecond
 )
 
-// Avoidance says how far a server is to be avoided.
-type Avoidance int
+// Avoidance is how far a server is to be avoided, as a part of State.
+type Avoidance struct {
+	// Began is the first fast failure of the current phase.
+	Began time.Time
+	// Until is the end of the avoidance; zero if the server is not avoided. After it, the server is on probation until a
+	// request succeeds.
+	Until time.Time
+	// LastSlow is the time of the last slow failure.
+	LastSlow time.Time
+	// Unreached counts connections in a row that could not be made.
+	Unreached int
+}
 
-// Degrees of avoidance.
+// Standing says how a server is to be used after its latest failures.
+type Standing int
+
+// Standings of a server.
 const (
 	// Welcome means that the server is used like any other.
-	Welcome Avoidance = iota
-	// Probation means that the server failed, and gets one request at a time until it succeeds.
+	Welcome Standing = iota
+	// Probation means that the server failed, and gets one request at a time until one succeeds.
 	Probation
-	// Avoid means that the server failed so recently that others go first.
+	// Avoid means that the server failed so recently that it gets no request while others can serve.
 	Avoid
 )
 
-// AvoidanceOf returns the degree of avoidance from the failures that the sum holds and the time since the last one.
-func AvoidanceOf(s *State, now time.Time) Avoidance {
-	if s.Sum < avoidSum {
+// StandingOf returns the standing of a server. Distressed says that the service loses many requests.
+func StandingOf(s *State, distressed bool, now time.Time) Standing {
+	switch {
+	case s.Avoidance.Until.IsZero():
 		return Welcome
-	}
-	if now.Sub(s.LastFailure) < avoidFor(s.Sum) {
+	case !now.Before(s.Avoidance.Until):
+		return Probation
+	case distressed && now.Sub(s.LastFailure) >= distressHold:
+		return Probation
+	default:
 		return Avoid
 	}
-	return Probation
 }
 
-func avoidFor(sum float64) time.Duration {
-	const mostDoublings = 2
-	doublings := min(int(sum/avoidSum)-1, mostDoublings)
-	return min(firstAvoidance<<doublings, longestAvoidance)
+// avoidAfter extends the avoidance after a failure.
+func avoidAfter(s *State, sign Sign, now time.Time) {
+	a := &s.Avoidance
+	switch sign {
+	case SignFast, SignPeer:
+		if now.Sub(a.Began) > phaseTime {
+			a.Began = now
+		}
+		a.avoid(now.Add(fastRetry))
+		a.avoid(a.Began.Add(fastHold))
+	case SignUnreachable:
+		const mostDoublings = 2
+		a.avoid(now.Add(min(unreachableHold<<min(a.Unreached, mostDoublings), longestUnreachable)))
+		a.Unreached++
+	case SignError, SignStalled:
+		if now.Sub(a.LastSlow) < slowPair {
+			a.avoid(now.Add(slowHold))
+		}
+		a.LastSlow = now
+	}
+	if !a.Until.IsZero() && !now.Before(a.Until) {
+		a.avoid(now.Add(slowHold)) // a failed trial of a server on probation
+	}
+}
+
+func (a *Avoidance) avoid(until time.Time) {
+	if until.After(a.Until) {
+		a.Until = until
+	}
 }
 
-// ObservePeerFailure counts a failure that a peer saw some time ago.
+// succeedAfter ends the avoidance after a success, unless the request was sent before the avoidance ended.
+func succeedAfter(s *State, started, now time.Time) {
+	a := &s.Avoidance
+	a.Unreached = 0
+	if started.After(s.LastFailure) && (!now.Before(a.Until) || now.Sub(s.LastFailure) >= distressHold) {
+		a.Until = time.Time{}
+	}
+}
+
+// failedFast says that a failure came before the server can have done any work.
+func failedFast(x Sample, b Baseline) bool {
+	if x.Evidence != fleet.Failed {
+		return false
+	}
+	if b.Latency == 0 {
+		return x.Latency < defaultFast
+	}
+	return x.Latency*fastRatio < b.Latency
+}
+
+// ObservePeerFailure counts a fast failure that a peer saw some time ago.
 func ObservePeerFailure(s *State, age time.Duration, b Baseline, t Settings, now time.Time) {
-	failed := now.Add(-age)
-	if failed.Before(s.Appeared) {
+	if now.Add(-age).Before(s.Appeared) {
 		return
 	}
-	before := s.LastFailure
 	fail(s, SignPeer, 1, b, t, now)
-	if failed.Before(before) {
-		failed = before
-	}
-	s.LastFailure = failed
 }
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -74,7 +74,10 @@
 	SignSlow        Sign = "slow"
 	SignStalled     Sign = "stalled"
 	SignProbe       Sign = "probe"
-	SignPeer        Sign = "reported by a peer"
+	// SignFast is an error before the server can have done any work.
+	SignFast Sign = "fast error"
+	// SignPeer is a fast error that a peer saw.
+	SignPeer Sign = "fast error at a peer"
 )
 
 // State is what one member knows about the health of one backend server.
@@ -94,8 +97,9 @@
 	Failures float64
 	RateAt   time.Time
 	// Latency is the smoothed time to the response headers; zero if no response was seen.
-	Latency  time.Duration
-	Ejection Ejection
+	Latency   time.Duration
+	Ejection  Ejection
+	Avoidance Avoidance
 }
 
 // Sample is the result of one attempt or probe.
@@ -121,6 +125,7 @@
 		observeProbe(s, verdict, b, t, now)
 	case verdict == good:
 		succeed(s, b, now)
+		succeedAfter(s, now.Add(-x.Latency), now)
 	case verdict == bad && x.Age.Counted == 0:
 		fail(s, sign, 1, b, t, now)
 	}
@@ -149,6 +154,9 @@
 		}
 		return "", good
 	case fleet.Failed:
+		if failedFast(x, b) {
+			return SignFast, late(x)
+		}
 		return SignError, late(x)
 	case fleet.Unreachable:
 		return SignUnreachable, late(x)
@@ -183,6 +191,7 @@
 		count(s, 1, now)
 		s.LastReal = now
 	}
+	avoidAfter(s, sign, now)
 	s.LastFailure = now
 	s.LastSign = sign
 	up, _ := steps(b)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -69,7 +69,8 @@
 				return
 			}
 			admission.Configure(queue, ranks, setLimits(servers, size, now))
-			for d.assignOne(now, servers, q, queue, &late) {
+			distressed := healthquery.Distressed(b.Health[service], now)
+			for d.assignOne(now, servers, distressed, q, queue, &late) {
 				q.InFlight++
 			}
 		})
@@ -96,15 +97,15 @@
 }
 
 func (d *Dispatcher) assignOne(
-	now time.Time, servers map[string]*table.Backend, q *table.Queues, queue *admission.Queue[*table.Ticket],
-	late *[]*table.Ticket,
+	now time.Time, servers map[string]*table.Backend, distressed bool, q *table.Queues,
+	queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
 ) bool {
 	if q.InFlight >= d.Workers || !anyFree(servers, now) {
 		return false
 	}
 	var chosen *table.Backend
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
-		chosen = choose(servers, i.Payload, d.AvailabilityZone, now)
+		chosen = choose(servers, i.Payload, d.AvailabilityZone, distressed, now)
 		return chosen != nil
 	})
 	for _, i := range picked.Late {
@@ -139,17 +140,26 @@
 }
 
 // choose returns the server for the ticket, or nil if it has to wait.
-func choose(servers map[string]*table.Backend, t *table.Ticket, zone string, now time.Time) *table.Backend {
+func choose(
+	servers map[string]*table.Backend, t *table.Ticket, zone string, distressed bool, now time.Time,
+) *table.Backend {
 	candidates := make([]admission.Server, 0, len(servers))
+	avoid := mayAvoid(servers, t, distressed, now)
 	for _, address := range slices.Sorted(maps.Keys(servers)) {
 		s := servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
-		if use != healthquery.NoUse {
-			candidates = append(candidates, admission.Server{
-				Address: address, Outstanding: s.Outstanding, Limit: s.Limit, Trial: use == healthquery.TrialUse,
-				Avoided: avoided(s, now), Detour: detour(s, t, zone),
-			})
+		if use == healthquery.NoUse {
+			continue
 		}
+		standing := detect.StandingOf(&s.State, distressed, now)
+		if standing == detect.Avoid && avoid || standing == detect.Probation && s.Outstanding > 0 {
+			continue
+		}
+		trial := use == healthquery.TrialUse || standing == detect.Probation && t.Idempotent && t.Attempt == 0
+		candidates = append(candidates, admission.Server{
+			Address: address, Outstanding: s.Outstanding, Limit: s.Limit, Trial: trial,
+			Avoided: standing == detect.Avoid, Detour: detour(s, t, zone),
+		})
 	}
 	n := admission.Choose(candidates, t.ID, t.Tried)
 	if n < 0 {
@@ -158,17 +168,24 @@
 	return servers[candidates[n].Address]
 }
 
-// avoided says that other servers go first: the server failed a short time ago, or it failed and has not yet succeeded
-// with the one request that it got since.
-func avoided(s *table.Backend, now time.Time) bool {
-	switch detect.AvoidanceOf(&s.State, now) {
-	case detect.Avoid:
-		return true
-	case detect.Probation:
-		return s.Outstanding > 0
-	default:
-		return false
+// fewestWelcome is the part of a pool that has to be welcome for the others to be avoided altogether. With fewer, waiting
+// for a welcome server would take longer than the avoided ones, some of which may work, are worth.
+const fewestWelcome = 0.4
+
+// mayAvoid says whether enough servers are welcome that the ticket rather waits for one of them than goes to an avoided
+// one.
+func mayAvoid(servers map[string]*table.Backend, t *table.Ticket, distressed bool, now time.Time) bool {
+	welcome, usable := 0, 0
+	for _, s := range servers {
+		if healthquery.UseOf(s, t.Idempotent, t.Attempt, now) == healthquery.NoUse {
+			continue
+		}
+		usable++
+		if detect.StandingOf(&s.State, distressed, now) == detect.Welcome {
+			welcome++
+		}
 	}
+	return float64(welcome) >= fewestWelcome*float64(usable)
 }
 
 // detour returns what the way to another zone costs a large response. It crosses zones only if the servers of the node's
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -8,6 +8,7 @@
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/pkg/trace"
 )
@@ -39,6 +40,9 @@
 		x := detect.Sample{
 			Evidence: r.Evidence, Latency: r.Latency, Ticket: a.Ticket.ID, Age: s.InFlight[a.Ticket.ID].Age,
 		}
+		if detect.StandingOf(&s.State, false, now) == detect.Welcome {
+			countAttempt(health, r.Evidence, now)
+		}
 		detect.Observe(&s.State, x, baseline, health.Settings, now)
 		leavingSign(s, r.Evidence, r.Leaving, now)
 	})
@@ -128,3 +132,17 @@
 	health.Touched = now
 	return s, health
 }
+
+// countAttempt counts an attempt for the judgment whether the service loses many requests.
+func countAttempt(h *table.Health, e fleet.Evidence, now time.Time) {
+	if e == fleet.Canceled {
+		return
+	}
+	f := healthquery.LossDecay(h, now)
+	h.Tried = h.Tried*f + 1
+	h.Lost *= f
+	if e != fleet.Succeeded {
+		h.Lost++
+	}
+	h.CountedAt = now
+}
