Tell other nodes of fast failures only

Cause: a failure of a single request was told as well, and a peer's word counts as a fast failure, so that up to 12 of 19 servers were avoided at a time.

--- a/internal/node/entrynode/share.go
+++ b/internal/node/entrynode/share.go
@@ -35,8 +35,9 @@
 	Failures []failure
 }
 
-// sharedHealth records evidence and passes on the failures that other nodes would see as well. A server that cannot be
-// reached from here may be reached from there, so that only failed responses are passed on.
+// sharedHealth records evidence, logs failed attempts, and passes on the failures that other nodes would see as well. A
+// server that cannot be reached from here may be reached from there, and a failure of a single request says nothing of the
+// next one, so that only fast failures are passed on.
 type sharedHealth struct {
 	*healthcmd.Commands
 	failures chan failure
@@ -44,7 +45,17 @@
 }
 
 func newSharedHealth(c *healthcmd.Commands, logger zerolog.Logger) *sharedHealth {
-	return &sharedHealth{Commands: c, failures: make(chan failure, shareQueue), logger: logger}
+	s := &sharedHealth{Commands: c, failures: make(chan failure, shareQueue), logger: logger}
+	c.Sink = s
+	return s
+}
+
+// FastFailure implements healthcmd.FailureSink.
+func (s *sharedHealth) FastFailure(now time.Time, key table.ServerKey, instance string) {
+	select {
+	case s.failures <- failure{Server: key, Instance: instance, At: now}:
+	default:
+	}
 }
 
 // Observe implements dispatchcmd.HealthObserver.
@@ -57,14 +68,6 @@
 		Str("backend-server", a.Server.Address).Str("instance", a.Server.Instance).Str("evidence", string(r.Evidence)).
 		Int("status", r.Status).Bool("sent", r.Sent).Int("attempt", a.Ticket.Attempt+1).
 		Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
-	if r.Evidence != fleet.Failed || r.Status == 0 {
-		return
-	}
-	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	select {
-	case s.failures <- failure{Server: key, Instance: a.Server.Instance, At: now}:
-	default:
-	}
 }
 
 // shareLoop tells the other entry hosts of failures.
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -23,11 +23,19 @@
 	Tables *table.Tables
 	// Trace receives every evidence event; nil if no trace is recorded.
 	Trace Recorder
+	// Sink receives the failures that say that a server fails whoever asks it; nil if nobody is told.
+	Sink FailureSink
+}
+
+// FailureSink takes failures that other nodes should hear of. FastFailure must not block.
+type FailureSink interface {
+	FastFailure(now time.Time, key table.ServerKey, instance string)
 }
 
 // Observe records the result of an attempt. It must be called before the attempt is removed from the requests in flight.
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
+	var fast bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		s, health := touch(b, key, now)
 		if s == nil {
@@ -44,8 +52,12 @@
 			countAttempt(health, r.Evidence, now)
 		}
 		detect.Observe(&s.State, x, baseline, health.Settings, now)
+		fast = s.State.LastSign == detect.SignFast && s.State.LastFailure.Equal(now)
 		leavingSign(s, r.Evidence, r.Leaving, now)
 	})
+	if fast && c.Sink != nil {
+		c.Sink.FastFailure(now, key, a.Server.Instance)
+	}
 	c.record(trace.Event{
 		At: now, Kind: trace.Ended, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 		Evidence: r.Evidence, Latency: r.Latency, Leaving: r.Leaving,
