--- a/internal/node/entrynode/share.go
+++ b/internal/node/entrynode/share.go
@@ -67,6 +67,7 @@
 	s.logger.Warn().Str("request-id", a.Ticket.ID).Str("service", a.Ticket.Service).
 		Str("backend-server", a.Server.Address).Str("instance", a.Server.Instance).Str("evidence", string(r.Evidence)).
 		Int("status", r.Status).Bool("sent", r.Sent).Int("attempt", a.Ticket.Attempt+1).
+		Stringer("standing", a.Standing).Int("outstanding", a.Outstanding).Dur("quiet-ms", a.Quiet).
 		Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
 }
 
--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -14,8 +14,8 @@
 	// defaultFast stands in for it until the latency of the pool is known.
 	defaultFast = 25 * time.Millisecond
 	// fastHold is how long a server is avoided from the first fast failure of a phase, and fastRetry after each further one.
-	fastHold  = 6500 * time.Millisecond
-	fastRetry = 2200 * time.Millisecond
+	fastHold  = 9 * time.Second
+	fastRetry = 4500 * time.Millisecond
 	// phaseTime is how long after its first failure a further one counts to the same phase.
 	phaseTime = 14 * time.Second
 	// slowPair is the time within which two slow failures lead to an avoidance, of slowHold.
@@ -56,6 +56,18 @@
 	Avoid
 )
 
+// String returns the name of the standing for logs.
+func (s Standing) String() string {
+	switch s {
+	case Probation:
+		return "probation"
+	case Avoid:
+		return "avoided"
+	default:
+		return "welcome"
+	}
+}
+
 // StandingOf returns the standing of a server. Distressed says that the service loses many requests.
 func StandingOf(s *State, distressed bool, now time.Time) Standing {
 	switch {
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -126,7 +126,18 @@
 	}
 	chosen.InFlight[t.ID] = table.InFlight{Started: now}
 	// The pool has room for every worker and closes only once no request is open, so that it takes the assignment.
-	return d.exchange.TrySubmit(table.Assignment{Ticket: t, Server: chosen.Server}) == nil
+	return d.exchange.TrySubmit(assignment(t, chosen, distressed, now)) == nil
+}
+
+// assignment notes what the choice of the server was based on.
+func assignment(t *table.Ticket, s *table.Backend, distressed bool, now time.Time) table.Assignment {
+	a := table.Assignment{
+		Ticket: t, Server: s.Server, Standing: detect.StandingOf(&s.State, distressed, now), Outstanding: s.Outstanding,
+	}
+	if !s.State.LastFailure.IsZero() {
+		a.Quiet = now.Sub(s.State.LastFailure)
+	}
+	return a
 }
 
 // anyFree says whether some request could be assigned. It saves looking at the waiting requests one by one.
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -21,6 +21,8 @@
 	Responded(now time.Time, a table.Assignment, r table.Result)
 	// Observe records the result of an attempt that is still in the table of requests in flight.
 	Observe(now time.Time, a table.Assignment, r table.Result)
+	// Settled records what became of a request that was admitted.
+	Settled(now time.Time, service string, served bool)
 }
 
 // Dispatcher assigns waiting requests to backend servers and runs them on a fixed pool of workers.
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
@@ -194,6 +195,10 @@
 
 // settle ends a ticket and hands its result to the caller.
 func (d *Dispatcher) settle(t *table.Ticket, r table.Result) {
+	if r.Evidence != fleet.Canceled {
+		served := r.Outcome == fleet.Answered && r.Status < http.StatusInternalServerError
+		d.Health.Settled(time.Now(), t.Service, served)
+	}
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
 		d.leave(q, t, r.Outcome)
 	})
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -48,9 +48,6 @@
 		x := detect.Sample{
 			Evidence: r.Evidence, Latency: r.Latency, Ticket: a.Ticket.ID, Age: s.InFlight[a.Ticket.ID].Age,
 		}
-		if detect.StandingOf(&s.State, false, now) == detect.Welcome {
-			countAttempt(health, r.Evidence, now)
-		}
 		detect.Observe(&s.State, x, baseline, health.Settings, now)
 		fast = s.State.LastSign == detect.SignFast && s.State.LastFailure.Equal(now)
 		leavingSign(s, r.Evidence, r.Leaving, now)
@@ -145,16 +142,19 @@
 	return s, health
 }
 
-// countAttempt counts an attempt for the judgment whether the service loses many requests.
-func countAttempt(h *table.Health, e fleet.Evidence, now time.Time) {
-	if e == fleet.Canceled {
-		return
-	}
-	f := healthquery.LossDecay(h, now)
-	h.Tried = h.Tried*f + 1
-	h.Lost *= f
-	if e != fleet.Succeeded {
-		h.Lost++
-	}
-	h.CountedAt = now
+// Settled records what became of a request, for the judgment whether the service loses many.
+func (c *Commands) Settled(now time.Time, service string, served bool) {
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		h := b.Health[service]
+		if h == nil {
+			return
+		}
+		f := healthquery.LossDecay(h, now)
+		h.Settled = h.Settled*f + 1
+		h.Lost *= f
+		if !served {
+			h.Lost++
+		}
+		h.SettledAt = now
+	})
 }
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -27,11 +27,10 @@
 	Settings detect.Settings
 	// Summary describes the pool as of the last sweep.
 	Summary detect.Summary
-	// Tried and Lost are decayed counts of attempts at servers that were not avoided, and of those that failed or were
-	// shed, as of CountedAt.
-	Tried     float64
+	// Settled and Lost are decayed counts of requests that ended, and of those that were not served, as of SettledAt.
+	Settled   float64
 	Lost      float64
-	CountedAt time.Time
+	SettledAt time.Time
 	// Touched is the time of the last evidence about the pool; zero if there was none.
 	Touched time.Time
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/roster"
+	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
@@ -152,4 +153,10 @@
 type Assignment struct {
 	Ticket *Ticket
 	Server fleet.BackendServer
+	// Standing is how the server was to be used when it was chosen, and Outstanding the requests that it had from this
+	// node, this one included.
+	Standing    detect.Standing
+	Outstanding int
+	// Quiet is the time since the last failure of the server; zero if it had none.
+	Quiet time.Duration
 }
