Wait for a welcome server in an overload

Cause: servers that fail at once have room for any number of requests. With fewer than 40% of a pool welcome they took 442 of the requests of a six-second burst. Change: they are avoided while a fifth of the pool is welcome and half of a request's time is left; nine tenths of the fleet's retry budget is used, none of its burst by nodes that callers are not sent to.

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,9 +45,9 @@
 
 	// tickPeriod is the time between two sweeps over backend servers, queues and hosts.
 	tickPeriod = 200 * time.Millisecond
-	// earnedPart is the part of the allowed retries that requests earn. The rest covers requests that are counted in one
-	// window and their retries in the next.
-	earnedPart = 0.75
+	// usedPart is the part of the allowed retries that is used. The rest covers requests that are counted in one window and
+	// their retries in the next, and nodes that disagree for a moment on who the entry hosts are.
+	usedPart = 0.9
 	// announcePeriod is the time between two looks at whether the host has to be entered in the topic of hosts.
 	announcePeriod = time.Second
 	// hostsEvery is the number of announce periods after which a registrar reads the topic of hosts.
@@ -269,14 +270,18 @@
 	return float64(n.Replicas.Slots()) * roster.CapacityPerSlot
 }
 
-// retryTerms returns the node's part of the fleet's retry budget. Entry hosts change, so that the burst is kept for twice
-// as many as there are.
+// retryTerms returns the node's part of the fleet's retry budget. A node that callers are not sent to gets a few requests
+// only, and leaves the burst to the others.
 func (n *Node) retryTerms() retry.Terms {
-	const reserve, fewest = 2, 2
-	nodes := max(len(n.Roster.Entries()), fewest) * reserve
-	return retry.Terms{
-		Earn: n.Options.RetryRatio * earnedPart, Cap: float64(n.Options.RetryBurst) / float64(nodes), UnsentFree: true,
+	terms := retry.Terms{Earn: n.Options.RetryRatio * usedPart, Cap: 1, UnsentFree: true}
+	if entries := n.Roster.Entries(); n.isEntry(entries) {
+		terms.Cap = max(1, float64(n.Options.RetryBurst)*usedPart/float64(len(entries)))
 	}
+	return terms
+}
+
+func (n *Node) isEntry(entries []fleet.Host) bool {
+	return slices.ContainsFunc(entries, func(h fleet.Host) bool { return h.ID == n.Options.Self.ID })
 }
 
 // adopt takes over the configuration in force and decides whether the node is ready.
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -179,13 +179,16 @@
 	return servers[candidates[n].Address]
 }
 
-// fewestWelcome is the part of a pool that has to be welcome for the others to be avoided altogether. With fewer, waiting
-// for a welcome server would take longer than the avoided ones, some of which may work, are worth.
-const fewestWelcome = 0.4
+// fewestWelcome is the part of a pool that has to be welcome for the others to be avoided altogether. Servers that fail at
+// once have room for any number of requests, so that in an overload they would take what the others cannot.
+const fewestWelcome = 0.2
 
-// mayAvoid says whether enough servers are welcome that the ticket rather waits for one of them than goes to an avoided
-// one.
+// mayAvoid says whether the ticket rather waits for a welcome server than goes to an avoided one: enough servers are
+// welcome, and half of its time is left.
 func mayAvoid(servers map[string]*table.Backend, t *table.Ticket, distressed bool, now time.Time) bool {
+	if t.Deadline.Sub(now) < t.Deadline.Sub(t.Arrived)/2 {
+		return false
+	}
 	welcome, usable := 0, 0
 	for _, s := range servers {
 		if healthquery.UseOf(s, t.Idempotent, t.Attempt, now) == healthquery.NoUse {
@@ -196,7 +199,7 @@
 			welcome++
 		}
 	}
-	return float64(welcome) >= fewestWelcome*float64(usable)
+	return welcome > 0 && float64(welcome) >= fewestWelcome*float64(usable)
 }
 
 // detour returns what the way to another zone costs a large response. It crosses zones only if the servers of the node's
