--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -25,9 +25,11 @@
 	// failure, up to the longest one.
 	unreachableHold    = time.Second
 	longestUnreachable = 4 * time.Second
-	// distressHold is how long a server is avoided while the service loses many requests. Its floor counts servers that
-	// have not failed for two seconds as healthy, and then they have to get requests.
-	distressHold = 1500 * time.Millisecond
+	// earlyHold is how long a server is avoided if it may be tried early. The floor of a service counts servers that have
+	// not failed for two seconds as healthy, and while the service loses many requests they have to get some.
+	earlyHold = 1500 * time.Millisecond
+	// neededPasses is the number of trials in a row that have to succeed: a failing server passes one in five.
+	neededPasses = 2
 )
 
 // Avoidance is how far a server is to be avoided, as a part of State.
@@ -39,6 +41,8 @@
 	Until time.Time
 	// LastSlow is the time of the last slow failure.
 	LastSlow time.Time
+	// Passed counts the trials in a row that succeeded since the avoidance ended.
+	Passed int
 	// Unreached counts connections in a row that could not be made.
 	Unreached int
 }
@@ -68,14 +72,15 @@
 	}
 }
 
-// StandingOf returns the standing of a server. Distressed says that the service loses many requests.
-func StandingOf(s *State, distressed bool, now time.Time) Standing {
+// StandingOf returns the standing of a server. Early says that it may be tried soon after a failure: the service loses
+// many requests, or the request can be sent to another server if the trial fails.
+func StandingOf(s *State, early bool, now time.Time) Standing {
 	switch {
 	case s.Avoidance.Until.IsZero():
 		return Welcome
 	case !now.Before(s.Avoidance.Until):
 		return Probation
-	case distressed && now.Sub(s.LastFailure) >= distressHold:
+	case early && now.Sub(s.LastFailure) >= earlyHold:
 		return Probation
 	default:
 		return Avoid
@@ -85,6 +90,7 @@
 // avoidAfter extends the avoidance after a failure.
 func avoidAfter(s *State, sign Sign, now time.Time) {
 	a := &s.Avoidance
+	a.Passed = 0
 	switch sign {
 	case SignFast, SignPeer:
 		if now.Sub(a.Began) > phaseTime {
@@ -117,9 +123,15 @@
 func succeedAfter(s *State, started, now time.Time) {
 	a := &s.Avoidance
 	a.Unreached = 0
-	if started.After(s.LastFailure) && (!now.Before(a.Until) || now.Sub(s.LastFailure) >= distressHold) {
+	if a.Until.IsZero() || !started.After(s.LastFailure) {
+		return
+	}
+	a.Passed++
+	if a.Passed >= neededPasses || now.Sub(a.Began) > phaseTime {
 		a.Until = time.Time{}
+		return
 	}
+	a.Until = now // the next trial may follow at once
 }
 
 // failedFast says that a failure came before the server can have done any work.
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -68,6 +68,8 @@
 	Runs int
 	// MaxRuns bounds Runs; zero means that only the budget does.
 	MaxRuns int
+	// Paid says that the budget has been charged for the next attempt.
+	Paid bool
 }
 
 // Reason says why a request is or is not attempted again.
@@ -108,13 +110,20 @@
 		return BodyLost
 	case a.MaxRuns > 0 && a.Runs >= a.MaxRuns:
 		return RunsSpent
-	case b.Terms.UnsentFree && !a.Sent:
+	case a.Paid || b.Terms.UnsentFree && !a.Sent || Pay(b):
 		return Allowed
-	case b.Balance < CostPerRetry:
+	default:
 		return BudgetSpent
 	}
+}
+
+// Pay charges the budget for one retry if it has enough.
+func Pay(b *Budget) bool {
+	if b.Balance < CostPerRetry {
+		return false
+	}
 	b.Balance -= CostPerRetry
-	return Allowed
+	return true
 }
 
 // Refused says that the attempt was proven not to have run the request: no byte was sent, or the backend server refused
--- a/pkg/dispatchcmd/errors.go
+++ b/pkg/dispatchcmd/errors.go
@@ -44,6 +44,15 @@
 	return fmt.Sprintf("caller gave up a request that waited in the queue of service %q", e.Service)
 }
 
+// StalledError reports an attempt that was cut off in favor of another server.
+type StalledError struct {
+	Address string
+}
+
+func (e StalledError) Error() string {
+	return fmt.Sprintf("backend server %s took too long; another one gets the request", e.Address)
+}
+
 // AttemptsError reports a request whose last attempt brought no response.
 type AttemptsError struct {
 	Attempts int
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
+	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -31,16 +33,47 @@
 	d.settle(t, r)
 }
 
-// send sends the request. An attempt that may be followed by another one is cut off when its patience ends, so that a
-// stalled server does not use up the time of a request that another server could still answer.
+// send sends the request. An attempt that takes longer than the request's patience is cut off if another server can take
+// the request at once and the retry budget allows it, so that a stalled server does not use up the time of a request that
+// another one could still answer. Without either, the server goes on working on it.
 func (d *Dispatcher) send(a table.Assignment) table.Result {
 	t := a.Ticket
 	if t.Patience == 0 || !t.Idempotent || t.MaxRuns > 0 && t.Runs+1 >= t.MaxRuns {
 		return t.Runner.Send(t.Context, a.Server)
 	}
-	ctx, cancel := context.WithTimeout(t.Context, t.Patience)
-	defer cancel()
-	return t.Runner.Send(ctx, a.Server)
+	ctx, cancel := context.WithCancelCause(t.Context)
+	defer cancel(nil)
+	var reserved atomic.Bool
+	timer := time.AfterFunc(t.Patience, func() {
+		if d.reserve(a, time.Now()) {
+			reserved.Store(true)
+			cancel(StalledError{Address: a.Server.Address})
+		}
+	})
+	r := t.Runner.Send(ctx, a.Server)
+	timer.Stop()
+	if t.Context.Err() == nil && ctx.Err() != nil {
+		r.Evidence = fleet.Failed // the node gave up, not the caller
+	}
+	t.Paid = t.Paid || reserved.Load()
+	return r
+}
+
+// reserve pays for another attempt if a welcome server has room for it.
+func (d *Dispatcher) reserve(a table.Assignment, now time.Time) bool {
+	var room, paid bool
+	service := a.Ticket.Service
+	d.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for address, s := range b.Services[service] {
+			room = room || address != a.Server.Address && !s.Leaving && s.Limit.Allows(s.Outstanding) &&
+				detect.StandingOf(&s.State, false, now) == detect.Welcome
+		}
+	})
+	if !room {
+		return false
+	}
+	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) { paid = retry.Pay(d.budget(b, service)) })
+	return paid
 }
 
 // end delivers the response, or discards the attempt and says what became of the request.
@@ -80,6 +113,7 @@
 		Left:       left,
 		Runs:       a.Ticket.Runs + mayRun(r),
 		MaxRuns:    a.Ticket.MaxRuns,
+		Paid:       a.Ticket.Paid,
 	}
 }
 
@@ -92,12 +126,7 @@
 	}
 	var reason retry.Reason
 	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
-		budget, ok := b.Services[t.Service]
-		if !ok {
-			full := retry.NewBudgetOf(b.Terms)
-			budget = &full
-			b.Services[t.Service] = budget
-		}
+		budget := d.budget(b, t.Service)
 		if t.Attempt == 0 {
 			retry.Earn(budget)
 		}
@@ -116,10 +145,22 @@
 	return reason
 }
 
+// budget returns the retry budget of the service.
+func (*Dispatcher) budget(b *table.Budgets, service string) *retry.Budget {
+	budget, ok := b.Services[service]
+	if !ok {
+		full := retry.NewBudgetOf(b.Terms)
+		budget = &full
+		b.Services[service] = budget
+	}
+	return budget
+}
+
 // requeue puts the ticket back into its queue for another attempt.
 func (d *Dispatcher) requeue(a table.Assignment, r table.Result) {
 	t := a.Ticket
 	t.Attempt++
+	t.Paid = false
 	t.Tried = append(t.Tried, a.Server.Address)
 	t.MaybeRun = t.MaybeRun || !retry.Refused(attempt(a, r, 0))
 	t.Runs += mayRun(r)
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -106,6 +106,8 @@
 	Attempt    int
 	// Tried lists the addresses of earlier attempts.
 	Tried []string
+	// Paid says that the retry budget has been charged for the next attempt.
+	Paid bool
 	// Runs is the number of earlier attempts that may have run the request.
 	Runs int
 	// MaybeRun says that an earlier attempt may have run the request.
