Plan entry hosts for half the slots, spread trials over nodes

Cause: on the grown deployment 40 weak hosts became entry hosts; trials of failing servers by idempotent requests used up the retry budget; nodes whose avoidance ended together tried a server together.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -28,14 +28,14 @@
 // Capacities of a host, in requests a second.
 const (
 	// requestsPerCore is what a whole core takes with room for bursts and the pauses of the garbage collector.
-	requestsPerCore = 400
+	requestsPerCore = 500
 	// bytesPerRequest is the mean that a request moves over the host's link, in and out: one of ten is a large download.
 	bytesPerRequest = 20_000
 	bytesPerMegabit = 125_000
 	// linkShare is the part of a link that is planned to be used.
 	linkShare = 0.4
-	// CapacityPerSlot is the rate of requests that one slot of a backend server completes: about half a second for each.
-	CapacityPerSlot = 2
+	// CapacityPerSlot is the rate of requests that is planned for one slot of a backend server: half of what it completes.
+	CapacityPerSlot = 1
 )
 
 // Capacity returns the requests a second that a host can carry, by its processor and its link.
--- a/internal/node/entrynode/share.go
+++ b/internal/node/entrynode/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -15,6 +16,8 @@
 const (
 	// shareDelay collects failures that come together into one message.
 	shareDelay = 20 * time.Millisecond
+	// trialSpread is the time over which nodes spread their trials of a server. It is many times shareDelay.
+	trialSpread = 2 * time.Second
 	// shareQueue bounds the failures that wait to be told. More than that in 20 ms say nothing new.
 	shareQueue = 256
 	// tellWorkers and tellQueue bound the messages about failures that are under way.
@@ -47,6 +50,7 @@
 func newSharedHealth(c *healthcmd.Commands, logger zerolog.Logger) *sharedHealth {
 	s := &sharedHealth{Commands: c, failures: make(chan failure, shareQueue), logger: logger}
 	c.Sink = s
+	c.Spread = rand.N(trialSpread)
 	return s
 }
 
--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -28,6 +28,8 @@
 	// earlyHold is how long a server is avoided if it may be tried early. The floor of a service counts servers that have
 	// not failed for two seconds as healthy, and while the service loses many requests they have to get some.
 	earlyHold = 1500 * time.Millisecond
+	// shedHold is how long a server on probation is left alone after it had no room.
+	shedHold = time.Second
 	// neededPasses is the number of trials in a row that have to succeed: a failing server passes one in five.
 	neededPasses = 2
 )
@@ -72,8 +74,8 @@
 	}
 }
 
-// StandingOf returns the standing of a server. Early says that it may be tried soon after a failure: the service loses
-// many requests, or the request can be sent to another server if the trial fails.
+// StandingOf returns the standing of a server. Early says that it may be tried soon after a failure, because the service
+// loses many requests.
 func StandingOf(s *State, early bool, now time.Time) Standing {
 	switch {
 	case s.Avoidance.Until.IsZero():
@@ -88,7 +90,7 @@
 }
 
 // avoidAfter extends the avoidance after a failure.
-func avoidAfter(s *State, sign Sign, now time.Time) {
+func avoidAfter(s *State, sign Sign, spread time.Duration, now time.Time) {
 	a := &s.Avoidance
 	a.Passed = 0
 	switch sign {
@@ -96,8 +98,8 @@
 		if now.Sub(a.Began) > phaseTime {
 			a.Began = now
 		}
-		a.avoid(now.Add(fastRetry))
-		a.avoid(a.Began.Add(fastHold))
+		a.avoid(now.Add(fastRetry + spread))
+		a.avoid(a.Began.Add(fastHold + spread))
 	case SignUnreachable:
 		const mostDoublings = 2
 		a.avoid(now.Add(min(unreachableHold<<min(a.Unreached, mostDoublings), longestUnreachable)))
@@ -134,6 +136,13 @@
 	a.Until = now // the next trial may follow at once
 }
 
+// shedAfter puts off the next trial of a server that had no room for the last one.
+func shedAfter(s *State, now time.Time) {
+	if !s.Avoidance.Until.IsZero() {
+		s.Avoidance.avoid(now.Add(shedHold))
+	}
+}
+
 // failedFast says that a failure came before the server can have done any work.
 func failedFast(x Sample, b Baseline) bool {
 	if x.Evidence != fleet.Failed {
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -48,6 +48,9 @@
 	Threshold float64
 	// ColdStart is how long after a server appeared its slow responses do not count.
 	ColdStart time.Duration
+	// Spread lengthens avoidances. It differs between nodes, so that one of them tries a server first and its failure
+	// spares the requests of the others.
+	Spread time.Duration
 }
 
 // SettingsOf returns the parameters for the service. The balanced preference is the default.
@@ -126,6 +129,8 @@
 	case verdict == good:
 		succeed(s, b, now)
 		succeedAfter(s, now.Add(-x.Latency), now)
+	case x.Evidence == fleet.Shed:
+		shedAfter(s, now)
 	case verdict == bad && x.Age.Counted == 0:
 		fail(s, sign, 1, b, t, now)
 	}
@@ -191,7 +196,7 @@
 		count(s, 1, now)
 		s.LastReal = now
 	}
-	avoidAfter(s, sign, now)
+	avoidAfter(s, sign, t.Spread, now)
 	s.LastFailure = now
 	s.LastSign = sign
 	up, _ := steps(b)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -162,7 +162,7 @@
 		if use == healthquery.NoUse {
 			continue
 		}
-		standing := detect.StandingOf(&s.State, distressed || t.Idempotent && t.Attempt == 0, now)
+		standing := detect.StandingOf(&s.State, distressed, now)
 		if standing == detect.Avoid && avoid || standing == detect.Probation && s.Outstanding > 0 {
 			continue
 		}
--- /dev/null
+++ b/pkg/healthcmd/instance_test.go
@@ -0,0 +1,49 @@
+package healthcmd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+func pool(servers ...fleet.BackendServer) *fleet.Configuration {
+	return &fleet.Configuration{Services: map[string]fleet.Service{
+		"desk": {Name: "desk", Preference: fleet.AvoidOnly, BackendServers: servers},
+	}}
+}
+
+func assertSum(t *testing.T, c *Commands, address string, zero bool) {
+	t.Helper()
+	c.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		is.New(t).Equal(b.Services["desk"][address].State.Sum == 0, zero)
+	})
+}
+
+func TestInstances(t *testing.T) {
+	now := time.Now()
+	key := table.ServerKey{Service: "desk", Address: "s1"}
+	// Guards against a panic at the start, when a service is known before its servers.
+	t.Run("a service without servers", func(t *testing.T) {
+		c := &Commands{Tables: table.New(fleet.Host{ID: "self"}, "1")}
+		c.Sync(now, pool())
+		c.Sync(now, pool(fleet.BackendServer{Address: "s1", Instance: "i-1", Slots: 6}))
+		assertSum(t, c, "s1", true)
+	})
+	// Guards against a new server being avoided for the failures of the one that had its address before.
+	t.Run("a new instance at an address starts without evidence", func(t *testing.T) {
+		c := &Commands{Tables: table.New(fleet.Host{ID: "self"}, "1")}
+		c.Sync(now, pool(fleet.BackendServer{Address: "s1", Instance: "i-1", Slots: 6}))
+		c.ObservePeerFailure(now, key, "i-1", 0)
+		assertSum(t, c, "s1", false)
+		c.ObservePeerFailure(now, key, "i-2", 0)
+		c.Sync(now, pool(fleet.BackendServer{Address: "s1", Instance: "i-2", Slots: 6}))
+		assertSum(t, c, "s1", true)
+		c.ObservePeerFailure(now, key, "i-1", 0)
+		assertSum(t, c, "s1", true)
+	})
+}
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -25,6 +25,8 @@
 	Trace Recorder
 	// Sink receives the failures that say that a server fails whoever asks it; nil if nobody is told.
 	Sink FailureSink
+	// Spread is this node's part of the spread of trials over nodes.
+	Spread time.Duration
 }
 
 // FailureSink takes failures that other nodes should hear of. FastFailure must not block.
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -15,7 +15,7 @@
 func (c *Commands) Sync(now time.Time, conf *fleet.Configuration) {
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		for name, service := range conf.Services {
-			syncService(b, name, service, now)
+			syncService(b, name, service, c.Spread, now)
 		}
 		for name := range b.Services {
 			if _, kept := conf.Services[name]; !kept {
@@ -31,7 +31,7 @@
 	}
 }
 
-func syncService(b *table.Backends, name string, service fleet.Service, now time.Time) {
+func syncService(b *table.Backends, name string, service fleet.Service, spread time.Duration, now time.Time) {
 	servers, known := b.Services[name]
 	if !known {
 		servers = map[string]*table.Backend{}
@@ -41,6 +41,7 @@
 	health := b.Health[name]
 	health.Floor = max(1, service.Floor)
 	health.Settings = detect.SettingsOf(service)
+	health.Settings.Spread = spread
 	current := map[string]bool{}
 	for _, server := range service.BackendServers {
 		current[server.Address] = true
