--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -34,6 +34,9 @@
 	// defaultRetryAfter is the wait that a refusal asks for if the decision gave none. The state of the node that led to
 	// it, such as a missing configuration or a missing pool, changes within about this time.
 	defaultRetryAfter = 500 * time.Millisecond
+	// startWait bounds the time for which a request waits for a node that has just started. It usually has a configuration
+	// within some tens of milliseconds, and callers that are turned away do not all come back.
+	startWait = 1500 * time.Millisecond
 	// writeSlack is how long after the deadline a caller may take to read the end of a response.
 	writeSlack = 2 * time.Second
 )
@@ -65,6 +68,8 @@
 	Traffic    Traffic
 	// MaxBody bounds a request body, in bytes.
 	MaxBody int64
+	// Started is closed once the node has a configuration and the registry of backend servers.
+	Started <-chan struct{}
 	// Leaving says whether the node is leaving, so that callers should not reuse their connections.
 	Leaving func() bool
 	Log     zerolog.Logger
@@ -104,6 +109,7 @@
 	if q.ID == "" {
 		return q, HeaderError{Name: h.Headers.RequestID}
 	}
+	h.awaitStart(r.Context())
 	c := h.Routes.Current()
 	if c == nil {
 		return q, NotReadyError{}
@@ -132,6 +138,22 @@
 	return q, nil
 }
 
+// awaitStart waits until a node that has just started can serve, for a short time.
+func (h *Handler) awaitStart(ctx context.Context) {
+	select {
+	case <-h.Started:
+		return
+	default:
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-h.Started:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -56,6 +56,8 @@
 	Self fleet.Host
 	// Seeds are peer addresses of other hosts, which may be stale.
 	Seeds []string
+	// FirstStart says that the whole fleet starts for the first time, so that no caller waits for the node.
+	FirstStart bool
 	// Headers are the headers that callers and backend servers use.
 	Headers dialect.Headers
 	// MaxBody bounds a request body, in bytes.
@@ -113,9 +115,11 @@
 	seeds      atomic.Pointer[[]string]
 	registered atomic.Bool
 	changed    chan struct{}
-	failed     chan error
-	leaving    atomic.Bool
-	servers    []*server
+	// served is closed when the node is ready for the first time.
+	served  chan struct{}
+	failed  chan error
+	leaving atomic.Bool
+	servers []*server
 }
 
 type server struct {
@@ -132,7 +136,7 @@
 		Roster: &rosterquery.Queries{Tables: t}, Replicas: &replicaquery.Queries{Tables: t},
 		hosts: rostercmd.New(t, logger), replicas: replicacmd.New(t, log, d, sharers, logger),
 		peers: peerclient.New(), conns: http1.NewPool(),
-		changed: make(chan struct{}, 1), failed: make(chan error, 1), jitter: rand.N(ageJitter),
+		changed: make(chan struct{}, 1), served: make(chan struct{}), failed: make(chan error, 1), jitter: rand.N(ageJitter),
 	}
 	n.seeds.Store(&o.Seeds)
 	n.health = newSharedHealth(&healthcmd.Commands{Tables: t}, logger)
@@ -143,7 +147,8 @@
 	n.tells = pool.New("tell", tellWorkers, tellQueue, n.tell)
 	front := &hostfront.Handler{
 		Routes: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns, Headers: o.Headers,
-		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBody: o.MaxBody, Leaving: n.leaving.Load, Log: logger,
+		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBody: o.MaxBody, Started: n.served,
+		Leaving: n.leaving.Load, Log: logger,
 	}
 	peer := &peerserver.Server{Hosts: n.hosts, Roster: n.Roster, Replicas: n.Replicas, Health: n.health, Logger: logger}
 	for _, l := range []Listener{
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -213,7 +213,7 @@
 		limit = registrarAge + time.Duration(place)*registrarStep
 	}
 	if age > time.Hour { // never complete
-		return now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.isSeed()
+		return !n.Options.FirstStart || now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.isSeed()
 	}
 	return age > limit+n.jitter
 }
@@ -311,6 +311,7 @@
 	n.health.Sync(time.Now(), c)
 	if _, ready := n.Roster.Self(); !ready && n.Replicas.Age(table.TopicBackendServers, time.Now()) < time.Hour {
 		n.hosts.SetReady(true)
+		close(n.served)
 		n.Logger.Info().Int64("revision", c.Revision).Msg("node is ready")
 	}
 }
--- a/internal/node/entrysettings/entrysettings.go
+++ b/internal/node/entrysettings/entrysettings.go
@@ -27,6 +27,8 @@
 	MetricsAddress   string `toml:"metrics-address"`
 	// LogAddress is that of the platform's log.
 	LogAddress string `toml:"log-address"`
+	// FirstStart says that the whole fleet starts for the first time. Otherwise callers may be waiting for the node.
+	FirstStart bool `toml:"first-start"`
 	// Seeds are peer addresses of other hosts, which may be stale.
 	Seeds []string `toml:"seeds"`
 
