--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -69,8 +69,8 @@
 				return
 			}
 			admission.Configure(queue, ranks, setLimits(servers, size, now))
-			distressed := healthquery.Distressed(b.Health[service], now)
-			for d.assignOne(now, servers, distressed, q, queue, &late) {
+			p := poolOf(servers, b.Health[service], admission.Waiting(queue), now)
+			for d.assignOne(now, p, q, queue, &late) {
 				q.InFlight++
 			}
 		})
@@ -82,14 +82,16 @@
 	}
 }
 
-// setLimits gives servers their first limit, and returns the sum of the limits of those in use.
+// setLimits gives servers their first limit, and returns the sum of the limits of those that get work. The expected wait
+// of a request depends on it.
 func setLimits(servers map[string]*table.Backend, size int, now time.Time) int {
 	slots := 0
 	for _, s := range servers {
 		if s.Limit.Slots != s.Server.Slots {
 			s.Limit = admission.NewLimit(s.Server.Slots, size)
 		}
-		if healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse {
+		welcome := detect.StandingOf(&s.State, false, now) == detect.Welcome
+		if welcome && healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse {
 			slots += s.Limit.Max()
 		}
 	}
@@ -97,15 +99,14 @@
 }
 
 func (d *Dispatcher) assignOne(
-	now time.Time, servers map[string]*table.Backend, distressed bool, q *table.Queues,
-	queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
+	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
 ) bool {
-	if q.InFlight >= d.Workers || !anyFree(servers, now) {
+	if q.InFlight >= d.Workers || !anyFree(p.Servers, now) {
 		return false
 	}
 	var chosen *table.Backend
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
-		chosen = choose(servers, i.Payload, d.AvailabilityZone, distressed, now)
+		chosen = choose(p, i.Payload, d.AvailabilityZone, now)
 		return chosen != nil
 	})
 	for _, i := range picked.Late {
@@ -126,13 +127,41 @@
 	}
 	chosen.InFlight[t.ID] = table.InFlight{Started: now}
 	// The pool has room for every worker and closes only once no request is open, so that it takes the assignment.
-	return d.exchange.TrySubmit(assignment(t, chosen, distressed, now)) == nil
+	return d.exchange.TrySubmit(assignment(p, t, chosen, now)) == nil
+}
+
+// servicePool is the servers of one service and how far they are loaded.
+type servicePool struct {
+	Servers map[string]*table.Backend
+	// Distressed says that the service loses many requests.
+	Distressed bool
+	// Pressed says that requests wait, or that the welcome servers are half full.
+	Pressed bool
+}
+
+func poolOf(servers map[string]*table.Backend, h *table.Health, waiting int, now time.Time) servicePool {
+	p := servicePool{Servers: servers, Distressed: healthquery.Distressed(h, now), Pressed: waiting > 0}
+	outstanding, limit := 0, 0
+	for _, s := range servers {
+		if !s.Leaving && detect.StandingOf(&s.State, false, now) == detect.Welcome {
+			outstanding += s.Outstanding
+			limit += s.Limit.Max()
+		}
+	}
+	p.Pressed = p.Pressed || 2*outstanding >= limit
+	return p
+}
+
+// early says that the ticket may be the trial of a server that failed a short time ago. While servers are scarce it is
+// worth to learn soon that one has recovered, by requests that can be sent to another server.
+func (p servicePool) early(t *table.Ticket) bool {
+	return p.Distressed || p.Pressed && t.Idempotent && t.Attempt == 0
 }
 
 // assignment notes what the choice of the server was based on.
-func assignment(t *table.Ticket, s *table.Backend, distressed bool, now time.Time) table.Assignment {
+func assignment(p servicePool, t *table.Ticket, s *table.Backend, now time.Time) table.Assignment {
 	a := table.Assignment{
-		Ticket: t, Server: s.Server, Standing: detect.StandingOf(&s.State, distressed, now), Outstanding: s.Outstanding,
+		Ticket: t, Server: s.Server, Standing: detect.StandingOf(&s.State, p.early(t), now), Outstanding: s.Outstanding,
 	}
 	t.Trial = a.Standing == detect.Probation
 	if !s.State.LastFailure.IsZero() {
@@ -152,18 +181,16 @@
 }
 
 // choose returns the server for the ticket, or nil if it has to wait.
-func choose(
-	servers map[string]*table.Backend, t *table.Ticket, zone string, distressed bool, now time.Time,
-) *table.Backend {
-	candidates := make([]admission.Server, 0, len(servers))
-	avoid := mayAvoid(servers, t, distressed, now)
-	for _, address := range slices.Sorted(maps.Keys(servers)) {
-		s := servers[address]
+func choose(p servicePool, t *table.Ticket, zone string, now time.Time) *table.Backend {
+	candidates := make([]admission.Server, 0, len(p.Servers))
+	avoid := mayAvoid(p, t, now)
+	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
+		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
 		if use == healthquery.NoUse {
 			continue
 		}
-		standing := detect.StandingOf(&s.State, distressed, now)
+		standing := detect.StandingOf(&s.State, p.early(t), now)
 		if standing == detect.Avoid && avoid || standing == detect.Probation && s.Outstanding > 0 {
 			continue
 		}
@@ -177,7 +204,7 @@
 	if n < 0 {
 		return nil
 	}
-	return servers[candidates[n].Address]
+	return p.Servers[candidates[n].Address]
 }
 
 // fewestWelcome is the part of a pool that has to be welcome for the others to be avoided altogether. Servers that fail at
@@ -186,17 +213,17 @@
 
 // mayAvoid says whether the ticket rather waits for a welcome server than goes to an avoided one: enough servers are
 // welcome, and half of its time is left.
-func mayAvoid(servers map[string]*table.Backend, t *table.Ticket, distressed bool, now time.Time) bool {
+func mayAvoid(p servicePool, t *table.Ticket, now time.Time) bool {
 	if t.Deadline.Sub(now) < t.Deadline.Sub(t.Arrived)/2 {
 		return false
 	}
 	welcome, usable := 0, 0
-	for _, s := range servers {
+	for _, s := range p.Servers {
 		if healthquery.UseOf(s, t.Idempotent, t.Attempt, now) == healthquery.NoUse {
 			continue
 		}
 		usable++
-		if detect.StandingOf(&s.State, distressed, now) == detect.Welcome {
+		if detect.StandingOf(&s.State, p.early(t), now) == detect.Welcome {
 			welcome++
 		}
 	}
