Dispatch requests with two deviations left

Cause: a request was refused when less than its mean time and eight deviations, up to half of its time, were left; most of the refused would have been answered.

--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -44,6 +44,9 @@
 	// sharers is the number of nodes that are assumed to share the slots of a backend server when its limit starts. The
 	// limit adapts to what the server sheds; half of the usual four entry hosts lets one of them use idle slots.
 	sharers = 2
+	// deviations is how many mean deviations beyond the mean time of its kind a request must have left to be dispatched.
+	// Callers that are refused do not all come back, so that a request with a fair chance is better sent.
+	deviations = 2
 	// acceptAfterLeave is how long a leaving node takes new connections: callers with a fresh answer of the directory no
 	// longer choose it, and what arrives later could not be finished within the grace period.
 	acceptAfterLeave = 2500 * time.Millisecond
@@ -141,6 +144,7 @@
 	n.seeds.Store(&o.Seeds)
 	n.health = newSharedHealth(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
+	n.Dispatcher.Deviations = deviations
 	n.Dispatcher.AvailabilityZone = o.Self.AvailabilityZone
 	n.Dispatcher.SetRetries(n.retryTerms())
 	n.syncs = pool.New("sync", syncWorkers, syncWorkers, n.sync)
--- a/pkg/decide/admission/admission.go
+++ b/pkg/decide/admission/admission.go
@@ -33,6 +33,9 @@
 	// Slots is the number of requests that the node may have outstanding at the usable backend servers. Zero means that
 	// it is not known, and then no slot limit applies.
 	Slots int
+	// Deviations is the number of mean deviations beyond the mean that a request should have left when it is dispatched;
+	// zero means the default. Few of them serve more of a burst, and leave more requests without an answer at their deadline.
+	Deviations float64
 }
 
 // RankQueue holds the waiting requests of one rank and its account of slot time.
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -114,7 +114,7 @@
 
 // need returns the time that the item should have left when it is dispatched.
 func need[T any](q *Queue[T], i Item[T]) time.Duration {
-	return atMostHalf(i, q.Ranks[i.Rank].ServiceTime.Need())
+	return atMostHalf(i, q.Ranks[i.Rank].ServiceTime.Need(q.Deviations))
 }
 
 // atMostHalf bounds the time by half of the item's whole time, so that a rank whose service times vary widely, or were
--- a/pkg/decide/admission/service_time.go
+++ b/pkg/decide/admission/service_time.go
@@ -39,7 +39,11 @@
 	return s.Mean
 }
 
-// Need returns the time that a request should have left when it is dispatched. Zero if no request was observed.
-func (s *ServiceTime) Need() time.Duration {
-	return s.Mean + deviationsNeeded*s.Deviation
+// Need returns the time that a request should have left when it is dispatched: the mean and a number of mean deviations,
+// zero for the default. It is zero if no request was observed.
+func (s *ServiceTime) Need(deviations float64) time.Duration {
+	if deviations == 0 {
+		deviations = deviationsNeeded
+	}
+	return s.Mean + time.Duration(deviations*float64(s.Deviation))
 }
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -69,6 +69,7 @@
 				return
 			}
 			admission.Configure(queue, ranks, setLimits(servers, size, now))
+			queue.Deviations = d.Deviations
 			p := poolOf(servers, b.Health[service], admission.Waiting(queue), now)
 			for d.assignOne(now, p, q, queue, &late) {
 				q.InFlight++
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -32,6 +32,8 @@
 	Workers int
 	// AvailabilityZone is that of the node; empty if requests have no preference for a zone.
 	AvailabilityZone string
+	// Deviations is the admission.Queue.Deviations of all queues.
+	Deviations float64
 
 	exchange *pool.Pool[table.Assignment]
 	// idle is closed when the dispatcher is closing and no request is open.
