Bound the time of writes to a caller for each request

Change: a request that is not dispatched gets a time limit for its response as well, so that a caller that does not read holds no goroutine.

--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -97,6 +97,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := request{ID: r.Header.Get(h.Headers.RequestID), Arrived: time.Now()}
+	// The time limit of the last request on the connection would still hold.
+	h.limitWrites(w, q, q.Arrived.Add(defaultTimeout))
 	q, err := h.resolve(w, r, q)
 	if err != nil {
 		h.finish(w, q, table.Result{Outcome: fleet.NotRun, Err: err})
@@ -194,7 +196,7 @@
 
 // dispatch has the request run and waits for its result.
 func (h *Handler) dispatch(w http.ResponseWriter, r *http.Request, q request) table.Result {
-	_ = http.NewResponseController(w).SetWriteDeadline(q.Deadline.Add(writeSlack)) // a connection that is gone fails at the write
+	h.limitWrites(w, q, q.Deadline.Add(writeSlack))
 	ctx, cancel := context.WithDeadline(r.Context(), q.Due)
 	defer cancel()
 	t := &table.Ticket{
@@ -222,6 +224,13 @@
 	return <-t.Done
 }
 
+// limitWrites bounds the time in which the caller reads the response.
+func (h *Handler) limitWrites(w http.ResponseWriter, q request, until time.Time) {
+	if err := http.NewResponseController(w).SetWriteDeadline(until); err != nil {
+		h.Log.Debug().Err(err).Str("request-id", q.ID).Msg("time limit of a connection was not set")
+	}
+}
+
 // patience is how long the first attempt of an idempotent request may take. A second one needs the other half.
 func patience(q request) time.Duration {
 	return q.Due.Sub(q.Arrived) / 2
