--- a/test/fleetproc/process.go
+++ b/test/fleetproc/process.go
@@ -52,12 +52,18 @@
 
 // Start starts a program and writes its output to a file in the directory.
 func Start(directory, name, program string, args ...string) (*Process, error) {
+	return StartWith(directory, name, nil, program, args...)
+}
+
+// StartWith starts a program with further variables in its environment.
+func StartWith(directory, name string, variables []string, program string, args ...string) (*Process, error) {
 	path := filepath.Join(directory, name+".log")
 	out, err := os.Create(path) //nolint:gosec // a file of this test run
 	if err != nil {
 		return nil, eris.Wrap(err, "create process log")
 	}
 	cmd := exec.Command(program, args...) //nolint:gosec // a program that this package built
+	cmd.Env = append(os.Environ(), variables...)
 	cmd.Stdout = out
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
