--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -231,9 +231,14 @@
 	}
 }
 
-// patience is how long the first attempt of an idempotent request may take. A second one needs the other half.
+// patience is how long the first attempt of an idempotent request may take: until its response would be late, and no
+// longer than half of its time, which a second attempt needs.
 func patience(q request) time.Duration {
-	return q.Due.Sub(q.Arrived) / 2
+	half := q.Due.Sub(q.Arrived) / 2
+	if q.Route.Target > 0 {
+		return min(q.Route.Target, half)
+	}
+	return half
 }
 
 // finish logs the result and writes a refusal if no response was delivered. It aborts the connection of a response that
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -40,8 +40,10 @@
 	firstRead = 1200 * time.Millisecond
 	// readTimeout bounds one call of the log. It is far above the usual 4 ms, and a slow log still answers within it.
 	readTimeout = 900 * time.Millisecond
-	// readBackoff is the longest pause after failed reads, and firstBackoff the shortest.
+	// readBackoff is the longest pause of a registrar after failed reads, and firstBackoff the shortest. All others leave the
+	// store to the registrars for up to otherBackoff, because every call of a hundred nodes is counted while it is down.
 	readBackoff  = 1600 * time.Millisecond
+	otherBackoff = 5 * time.Second
 	firstBackoff = 300 * time.Millisecond
 
 	// tickPeriod is the time between two sweeps over backend servers, queues and hosts.
@@ -203,7 +205,11 @@
 			pause = 0
 			return
 		}
-		pause = min(max(2*pause, firstBackoff), readBackoff)
+		longest := otherBackoff
+		if n.Roster.RegistrarPlace() >= 0 {
+			longest = readBackoff
+		}
+		pause = min(max(2*pause, firstBackoff), longest)
 		resume = time.Now().Add(pause + rand.N(firstBackoff))
 	})
 }
