--- a/internal/peer/peerclient/peerclient.go
+++ b/internal/peer/peerclient/peerclient.go
@@ -45,7 +45,7 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: timeout}
 	return &Client{HTTP: &http.Client{Timeout: timeout, Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1,
+		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1,
 	}}}
 }
 
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -2,10 +2,13 @@
 package peerserver
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/internal/peer/peerapi"
@@ -15,8 +18,12 @@
 	"egretline.example/egretline/pkg/table"
 )
 
-// maxMessageBytes bounds a message of another node.
-const maxMessageBytes = 1 << 20
+const (
+	// maxMessageBytes bounds a message of another node.
+	maxMessageBytes = 1 << 20
+	// compressBytes is the size from which on a response is compressed. Most have no news and are far smaller.
+	compressBytes = 4 << 10
+)
 
 // FailureObserver records failures that other nodes saw.
 type FailureObserver interface {
@@ -61,12 +68,33 @@
 			response.Hosts = append(response.Hosts, peerapi.HostMessage(h.Host, h.Ready))
 		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(response); err != nil {
+	if err := write(w, r, response); err != nil {
 		s.Logger.Debug().Err(err).Str("peer", m.From.ID).Msg("response to a node was not delivered")
 	}
 }
 
+// write encodes a response, compressed if it is long: a configuration with hundreds of routes goes to every node.
+func write(w http.ResponseWriter, r *http.Request, response peerapi.SyncResponse) error {
+	body, err := json.Marshal(response)
+	if err != nil {
+		return eris.Wrap(err, "encode response")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if len(body) < compressBytes || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, err = w.Write(body)
+		return eris.Wrap(err, "send response")
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	packer, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return eris.Wrap(err, "compress response")
+	}
+	if _, err := packer.Write(body); err != nil {
+		return eris.Wrap(err, "send response")
+	}
+	return eris.Wrap(packer.Close(), "send response")
+}
+
 func (s *Server) failures(w http.ResponseWriter, r *http.Request) {
 	var m peerapi.Failures
 	if !s.decode(w, r, &m) {
--- /dev/null
+++ b/internal/peer/peerserver/peerserver_test.go
@@ -0,0 +1,91 @@
+package peerserver_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/internal/decide/replica"
+	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/peer/peerclient"
+	"egretline.example/egretline/internal/peer/peerserver"
+	"egretline.example/egretline/internal/replica/replicaquery"
+	"egretline.example/egretline/internal/roster/rostercmd"
+	"egretline.example/egretline/internal/roster/rosterquery"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/table"
+)
+
+// newPeer serves a node's tables to other nodes and returns them with the node's address.
+func newPeer(t *testing.T) (*table.Tables, string) {
+	t.Helper()
+	tables := table.New(fleet.Host{ID: "registrar", AvailabilityZone: "a"}, "")
+	s := &peerserver.Server{
+		Hosts: rostercmd.New(tables, zerolog.Nop()), Roster: &rosterquery.Queries{Tables: tables},
+		Replicas: &replicaquery.Queries{Tables: tables}, Health: &healthcmd.Commands{Tables: tables}, Logger: zerolog.Nop(),
+	}
+	server := httptest.NewServer(s.Handler())
+	t.Cleanup(server.Close)
+	return tables, strings.TrimPrefix(server.URL, "http://")
+}
+
+func fill(tables *table.Tables, value string) {
+	tables.Replicas.Write(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
+		b := replica.Batch{
+			Records: []replica.Record{{Key: "config", Value: []byte(value), Offset: 3}}, Next: 4, Every: true, AsOf: time.Now(),
+		}
+		replica.Apply(r.Topics[table.TopicConfiguration], b, nil, time.Now())
+	})
+}
+
+func ask(t *testing.T, address string, next int64, digest uint64) peerapi.SyncResponse {
+	t.Helper()
+	response, err := peerclient.New().Sync(context.Background(), address, peerapi.SyncRequest{
+		From:    peerapi.Host{ID: "other", Ready: true},
+		Cursors: map[table.Topic]int64{table.TopicConfiguration: next}, Digest: digest,
+	})
+	is.New(t).NoErr(err)
+	return response
+}
+
+func assertRecord(t *testing.T, r peerapi.SyncResponse, want string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(len(r.Topics[table.TopicConfiguration].Records), 1)
+	is.Equal(string(r.Topics[table.TopicConfiguration].Records[0].Value), want)
+}
+
+func TestSync(t *testing.T) {
+	for name, value := range map[string]string{
+		"a short record": "x",
+		// Guards against whole configurations that cross the zones uncompressed to each of a hundred nodes.
+		"a long record is compressed on the way": strings.Repeat("route ", 20_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			tables, address := newPeer(t)
+			fill(tables, value)
+			assertRecord(t, ask(t, address, 0, 0), value)
+		})
+	}
+	t.Run("what the other node has is not sent again", func(t *testing.T) {
+		is := is.New(t)
+		tables, address := newPeer(t)
+		fill(tables, "x")
+		first := ask(t, address, 4, 0)
+		is.Equal(len(first.Topics[table.TopicConfiguration].Records), 0)
+		is.Equal(len(first.Hosts), 1) // the asking node itself
+		is.Equal(len(ask(t, address, 4, first.Digest).Hosts), 0)
+	})
+	// Guards against a node that takes an empty copy for the state of the log.
+	t.Run("a copy that was never complete is not told", func(t *testing.T) {
+		_, address := newPeer(t)
+		is.New(t).Equal(len(ask(t, address, 0, 0).Topics), 0)
+	})
+}
