Start a restarted node without a burst of retries; end messages to nodes with the node

Ruled out: the exchange of requests, which the grace period bounds. Result: TestRetryBurst and TestStop; TestStop ran into its time limit of 60 s without the change.

--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -104,8 +104,11 @@
 	peers    *peerclient.Client
 	conns    *http1.Pool
 
-	syncs *pool.Pool[fleet.Host]
-	tells *pool.Pool[message]
+	// calls governs messages to other nodes. It ends with the node, so that a peer that does not answer does not hold it up.
+	calls     context.Context
+	stopCalls context.CancelFunc
+	syncs     *pool.Pool[fleet.Host]
+	tells     *pool.Pool[message]
 	// digests and heardBy hold, for each registrar, its last list of hosts and the digest of it.
 	digests latest[uint64]
 	heardBy latest[[]rostercmd.Announcement]
@@ -141,6 +144,7 @@
 		peers: peerclient.New(), conns: http1.NewPool(),
 		changed: make(chan struct{}, 1), served: make(chan struct{}), failed: make(chan error, 1), jitter: rand.N(ageJitter),
 	}
+	n.calls, n.stopCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
 	n.health = newSharedHealth(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
@@ -209,6 +213,7 @@
 	case err = <-n.failed:
 	}
 	stop()
+	n.stopCalls()
 	done.Wait()
 	n.closeServers()
 	n.syncs.Close()
--- /dev/null
+++ b/internal/node/entrynode/entrynode_test.go
@@ -0,0 +1,98 @@
+package entrynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/internal/decide/registry"
+	"egretline.example/egretline/internal/decide/replica"
+	"egretline.example/egretline/pkg/decide/retry"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
+)
+
+// emptyLog is a log without records, and a decoder of none.
+type emptyLog struct{}
+
+func (emptyLog) Read(context.Context, table.Topic, int64) (replica.Batch, error) {
+	return replica.Batch{Every: true}, nil
+}
+
+func (emptyLog) Newest(context.Context, table.Topic) (replica.Batch, error) {
+	return replica.Batch{Whole: true}, nil
+}
+
+func (emptyLog) Append(context.Context, table.Topic, string, []byte) error { return nil }
+
+func (emptyLog) Configuration([]byte) (*fleet.Configuration, error) {
+	return &fleet.Configuration{}, nil
+}
+
+func (emptyLog) BackendServer(string, []byte) (registry.Registration, error) {
+	return registry.Registration{}, nil
+}
+
+func newNode(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Options{Self: fleet.Host{
+		ID: "self", AvailabilityZone: "a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+	}}, emptyLog{}, emptyLog{}, zerolog.Nop())
+	is.New(t).NoErr(err)
+	t.Cleanup(n.closeServers)
+	return n
+}
+
+// silentPeer accepts connections and never answers.
+func silentPeer(t *testing.T) fleet.Host {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	return fleet.Host{ID: "silent", PeerAddress: l.Addr().String()}
+}
+
+func TestStop(t *testing.T) {
+	// Guards against a node that outlasts its grace period because it waits for peers: the messages would wait forever
+	// here if their end were not that of the node.
+	t.Run("peers that do not answer do not hold up a node that stops", func(t *testing.T) {
+		n := newNode(t)
+		n.peers.HTTP = &http.Client{}
+		peer := silentPeer(t)
+		for range tellQueue / 2 {
+			is.New(t).NoErr(n.tells.TrySubmit(message{To: peer}))
+		}
+		n.submitSync(peer)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		n.Options.Grace = 0
+		is.New(t).NoErr(n.Run(ctx))
+	})
+}
+
+func assertStart(t *testing.T, firstStart bool, wantFull bool) {
+	t.Helper()
+	n := newNode(t)
+	n.Options.FirstStart, n.Options.RetryBurst, n.Options.RetryRatio = firstStart, 62, 0.2
+	n.hosts.SetReady(true)
+	n.hosts.Refresh(time.Now(), 0)
+	budget := retry.NewBudgetOf(n.retryTerms())
+	is.New(t).Equal(budget.Balance == budget.Terms.Cap, wantFull)
+	is.New(t).True(budget.Terms.Cap > 1)
+}
+
+func TestRetryBurst(t *testing.T) {
+	t.Run("the fleet starts with its burst", func(t *testing.T) { assertStart(t, true, true) })
+	// Guards against a second burst within one window, after all nodes were killed.
+	t.Run("a node that restarts does not", func(t *testing.T) { assertStart(t, false, false) })
+	t.Run("a node that callers are not sent to has none", func(t *testing.T) {
+		n := newNode(t)
+		n.Options.RetryBurst = 62
+		is.New(t).Equal(n.retryTerms().Cap, 1.0)
+	})
+}
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -155,7 +155,7 @@
 		From: peerapi.HostMessage(n.Roster.Self()), Cursors: n.Replicas.Cursors(), Digest: n.digests.get(h.ID),
 	}
 	request.From.Leaving = n.leaving.Load()
-	response, err := n.peers.Sync(context.Background(), h.PeerAddress, request)
+	response, err := n.peers.Sync(n.calls, h.PeerAddress, request)
 	now := time.Now()
 	if err != nil {
 		n.Logger.Warn().Err(err).Str("peer", h.ID).Str("address", h.PeerAddress).Msg("node does not answer")
@@ -303,6 +303,12 @@
 	if entries := n.Roster.Entries(); n.isEntry(entries) {
 		terms.Cap = max(1, float64(n.Options.RetryBurst)*usedPart/float64(len(entries)))
 	}
+	// A node that restarts knows nothing of the retries of its last run. After a kill of all nodes a new burst would come on
+	// top of the one that was just spent.
+	terms.Start = 1
+	if n.Options.FirstStart {
+		terms.Start = terms.Cap
+	}
 	return terms
 }
 
--- a/internal/node/entrynode/share.go
+++ b/internal/node/entrynode/share.go
@@ -119,7 +119,7 @@
 			AgeMs: now.Sub(f.At).Milliseconds(),
 		})
 	}
-	if err := n.peers.Tell(context.Background(), m.To.PeerAddress, out); err != nil {
+	if err := n.peers.Tell(n.calls, m.To.PeerAddress, out); err != nil {
 		n.Logger.Warn().Err(err).Str("peer", m.To.ID).Msg("node was not told of failures")
 	}
 }
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -19,8 +19,9 @@
 type Terms struct {
 	// Earn is the part of a retry that a first attempt earns.
 	Earn float64
-	// Cap is the highest balance.
-	Cap float64
+	// Cap is the highest balance, and Start the first one.
+	Cap   float64
+	Start float64
 	// UnsentFree says that a retry is free if no byte of the attempt was sent. It suits a budget that bounds arrivals at
 	// backend servers.
 	UnsentFree bool
@@ -28,7 +29,7 @@
 
 // DefaultTerms returns the terms of a node that shares the budget with nobody.
 func DefaultTerms() Terms {
-	return Terms{Earn: EarnPerFirstAttempt, Cap: BudgetCap}
+	return Terms{Earn: EarnPerFirstAttempt, Cap: BudgetCap, Start: BudgetCap}
 }
 
 // Budget bounds the retries of one service at one node.
@@ -42,9 +43,9 @@
 	return NewBudgetOf(DefaultTerms())
 }
 
-// NewBudgetOf returns a full budget.
+// NewBudgetOf returns a new budget with the terms.
 func NewBudgetOf(t Terms) Budget {
-	return Budget{Balance: t.Cap, Terms: t}
+	return Budget{Balance: min(t.Start, t.Cap), Terms: t}
 }
 
 // Earn adds the part of a retry that a first attempt earns.
