--- a/internal/node/entrysettings/entrysettings.go
+++ b/internal/node/entrysettings/entrysettings.go
@@ -2,13 +2,9 @@
 package entrysettings
 
 import (
-	"bytes"
-	"errors"
-	"fmt"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
 	"egretline.example/egretline/pkg/settings"
@@ -61,30 +57,12 @@
 // Decode checks the contents of a settings file. The path is used in errors only.
 func Decode(path string, contents []byte) (Settings, error) {
 	s := Settings{LogLevel: "info"}
-	d := toml.NewDecoder(bytes.NewReader(contents))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, decodeError(path, err)
+	if err := settings.DecodeStrict(path, contents, &s); err != nil {
+		return Settings{}, err
 	}
 	return s, check(path, s)
 }
 
-func decodeError(path string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		line, _ := strict.Errors[0].Position()
-		return settings.FileError{
-			Path: path, Line: line, Key: fmt.Sprint(strict.Errors[0].Key()), Remedy: "unknown key; remove it",
-		}
-	}
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, _ := decode.Position()
-		return settings.FileError{Path: path, Line: line, Key: fmt.Sprint(decode.Key()), Remedy: decode.Error()}
-	}
-	return settings.FileError{Path: path, Remedy: err.Error()}
-}
-
 func check(path string, s Settings) error {
 	for _, r := range []struct{ key, value string }{
 		{"host-id", s.HostID},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -122,12 +122,20 @@
 		DrainGrace:      Duration{DefaultDrainGrace},
 		LogLevel:        "info",
 	}
+	if err := DecodeStrict(path, contents, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, check(path, s)
+}
+
+// DecodeStrict decodes TOML into the struct that into points to. It returns FileError for unknown or malformed keys.
+func DecodeStrict(path string, contents []byte, into any) error {
 	d := toml.NewDecoder(bytes.NewReader(contents))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, decodeError(path, err)
+	if err := d.Decode(into); err != nil {
+		return decodeError(path, err)
 	}
-	return s, check(path, s)
+	return nil
 }
 
 func decodeError(path string, err error) error {
