Choose as many entry hosts in each zone as carry its load evenly

Cause: callers are sent to the hosts of their own zone, but entry hosts were added without regard to zones. During a roll a weak host (0.16 cores, 10 Mbit/s) then took half of the callers of a zone beside a strong one and refused 150 of 174 requests a second. Ruled out: the processor of the one host (0.16 of 0.8 cores), the sheds of the servers. Change: in each zone the smallest number of hosts that share its load evenly without overloading the weakest of them.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -28,7 +29,7 @@
 // Capacities of a host, in requests a second.
 const (
 	// requestsPerCore is what a whole core takes with room for bursts and the pauses of the garbage collector.
-	requestsPerCore = 500
+	requestsPerCore = 600
 	// bytesPerRequest is the mean that a request moves over the host's link, in and out: one of ten is a large download.
 	bytesPerRequest = 20_000
 	bytesPerMegabit = 125_000
@@ -76,33 +77,45 @@
 	return now.Sub(s.Heard) < heardFor && s.Heard.After(s.Failed)
 }
 
-// Entries returns the hosts that callers are sent to: the host with the highest capacity in each availability zone, and
-// then as many more as the load takes, given in the unit of the capacities. Few hosts see the failures of a backend
-// server sooner than many, because each sees a larger part of its requests.
+// Entries returns the hosts that callers are sent to, the strongest of each availability zone first. The load is given in
+// the unit of the capacities. Callers are sent to the hosts of their own zone and choose among them evenly, so that each
+// zone has as many hosts as it takes to carry its part of the load. Few hosts see the failures of a backend server sooner
+// than many, because each sees a larger part of its requests.
 func Entries(hosts []fleet.Host, load float64) []fleet.Host {
-	ordered := order(hosts)
-	var chosen, others []fleet.Host
-	capacity := 0.0
-	zones := map[string]bool{}
-	for _, h := range ordered {
-		if zones[h.AvailabilityZone] {
-			others = append(others, h)
-			continue
-		}
-		zones[h.AvailabilityZone] = true
-		chosen = append(chosen, h)
-		capacity += h.Weight * busyShare
+	zones := map[string][]fleet.Host{}
+	for _, h := range order(hosts) {
+		zones[h.AvailabilityZone] = append(zones[h.AvailabilityZone], h)
 	}
-	for _, h := range others {
-		if capacity >= load {
-			break
+	var chosen []fleet.Host
+	place := map[string]int{}
+	for _, list := range zones {
+		for k, h := range list[:enough(list, load/float64(len(zones)))] {
+			chosen = append(chosen, h)
+			place[h.ID] = k
 		}
-		chosen = append(chosen, h)
-		capacity += h.Weight * busyShare
 	}
+	slices.SortFunc(chosen, func(a, b fleet.Host) int {
+		return cmp.Or(cmp.Compare(place[a.ID], place[b.ID]), cmp.Compare(a.AvailabilityZone, b.AvailabilityZone))
+	})
 	return chosen
 }
 
+// enough returns how many of the hosts, strongest first, share the load evenly without overloading the weakest of them.
+// If no number does, it is the one that overloads it least: a weak host beside a strong one would take half of the load.
+func enough(hosts []fleet.Host, load float64) int {
+	best, least := 1, math.Inf(1)
+	for n := 1; n <= len(hosts); n++ {
+		busy := load / (float64(n) * hosts[n-1].Weight)
+		if busy <= busyShare {
+			return n
+		}
+		if busy < least {
+			best, least = n, busy
+		}
+	}
+	return best
+}
+
 // Registrars returns the hosts of the list that spread state, in the order in which they were chosen.
 func Registrars(entries []fleet.Host) []fleet.Host {
 	return entries[:min(len(entries), MaxRegistrars)]
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -38,6 +38,27 @@
 		}
 		is.Equal(len(zones), 3)
 	})
+	// Guards against an overload of one zone, whose callers share one host while those of the others have two.
+	t.Run("zones have the same number while they have hosts", func(t *testing.T) {
+		for load := range 12 {
+			count := map[string]int{}
+			for _, h := range Entries(fleetOf(110), 200*float64(load)) {
+				count[h.AvailabilityZone]++
+			}
+			is.New(t).Equal(count["z0"], count["z1"])
+			is.New(t).Equal(count["z0"], count["z2"])
+		}
+	})
+	// Guards against a weak host that takes half of the callers of its zone while the second strong one restarts.
+	t.Run("a strong host is not joined by a weak one that it would overload", func(t *testing.T) {
+		is := is.New(t)
+		hosts := []fleet.Host{{ID: "strong", Weight: Capacity(0.8, 200)}}
+		for i := range 5 {
+			hosts = append(hosts, fleet.Host{ID: fmt.Sprint("weak", i), Weight: Capacity(0.16, 10)})
+		}
+		is.Equal(len(Entries(hosts, 420)), 1)
+		is.Equal(len(Entries(hosts[1:], 420)), 5) // without it, all of them share the load
+	})
 	// Guards against weak hosts whose links and processors a share of the load would fill.
 	t.Run("strong hosts come first", func(t *testing.T) {
 		for _, h := range Entries(fleetOf(110), 1500) {
