Start workers of a pool as jobs need them

Cause: the exchange pool is to grow from 256 to 768 workers, and 111 hosts of which five serve callers would keep the stacks.

--- a/pkg/pool/pool.go
+++ b/pkg/pool/pool.go
@@ -1,10 +1,11 @@
-// Package pool runs jobs on a fixed number of workers over a bounded queue.
+// Package pool runs jobs on a bounded number of workers over a bounded queue.
 package pool
 
 import (
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 )
 
 // FullError reports a job that was turned away because the queue was full.
@@ -26,24 +27,40 @@
 	return fmt.Sprintf("pool %s is closed", e.Pool)
 }
 
-// Pool is a fixed set of workers that take jobs of type J from a bounded queue.
+// Pool is a set of workers that take jobs of type J from a bounded queue. A worker is started when a job finds none idle,
+// up to a fixed number, and stays until the pool is closed: hosts that have little to do keep few stacks.
 type Pool[J any] struct {
-	name   string
-	jobs   chan J
-	handle func(J)
-	done   sync.WaitGroup
+	name    string
+	jobs    chan J
+	handle  func(J)
+	done    sync.WaitGroup
+	workers int32
+	// started counts the workers, and busy the jobs that were submitted and have not ended.
+	started atomic.Int32
+	busy    atomic.Int32
 
 	mu     sync.RWMutex
 	closed bool
 }
 
-// New starts the workers. handle runs on a worker, one job at a time.
+// New returns a pool of at most the given number of workers. handle runs on a worker, one job at a time.
 func New[J any](name string, workers, capacity int, handle func(J)) *Pool[J] {
-	p := &Pool[J]{name: name, jobs: make(chan J, capacity), handle: handle}
-	for range workers {
-		p.done.Go(p.work)
+	return &Pool[J]{name: name, jobs: make(chan J, capacity), handle: handle, workers: int32(workers)}
+}
+
+// enter counts a job and starts a worker for it if all that were started have one.
+func (p *Pool[J]) enter() {
+	busy := p.busy.Add(1)
+	for {
+		started := p.started.Load()
+		if started >= p.workers || started >= busy {
+			return
+		}
+		if p.started.CompareAndSwap(started, started+1) {
+			p.done.Go(p.work)
+			return
+		}
 	}
-	return p
 }
 
 // Submit hands a job to the workers and waits while the queue is full. It returns ClosedError after Close, or the error
@@ -54,10 +71,12 @@
 	if p.closed {
 		return ClosedError{Pool: p.name}
 	}
+	p.enter()
 	select {
 	case p.jobs <- j:
 		return nil
 	case <-ctx.Done():
+		p.busy.Add(-1)
 		return context.Cause(ctx)
 	}
 }
@@ -69,10 +88,12 @@
 	if p.closed {
 		return ClosedError{Pool: p.name}
 	}
+	p.enter()
 	select {
 	case p.jobs <- j:
 		return nil
 	default:
+		p.busy.Add(-1)
 		return FullError{Pool: p.name, Capacity: cap(p.jobs)}
 	}
 }
@@ -91,5 +112,6 @@
 func (p *Pool[J]) work() {
 	for j := range p.jobs {
 		p.handle(j)
+		p.busy.Add(-1)
 	}
 }
--- a/pkg/pool/pool_test.go
+++ b/pkg/pool/pool_test.go
@@ -40,4 +40,24 @@
 		p.Close()
 		is.True(errors.As(p.TrySubmit(1), &ClosedError{}))
 	})
+	// Guards against stacks that hosts without work keep, and against a job that waits while a worker could be started.
+	t.Run("workers are started as jobs need them", func(t *testing.T) {
+		is := is.New(t)
+		const jobs = 5
+		release, running := make(chan struct{}), make(chan struct{})
+		p := New("test", 2*jobs, jobs, func(int) {
+			running <- struct{}{}
+			<-release
+		})
+		is.Equal(p.started.Load(), int32(0))
+		for i := range jobs {
+			is.NoErr(p.TrySubmit(i))
+		}
+		for range jobs {
+			<-running // all jobs run at the same time
+		}
+		is.Equal(p.started.Load(), int32(jobs))
+		close(release)
+		p.Close()
+	})
 }
