Send a backup attempt in place of cutting a slow one; try failed servers early in an overload; share limits

Ruled out: the retry budget (as much as it could give would save 0.5% of the requests), the dispatch order. Changes: the first attempt goes on beside the backup and the first complete response counts; entry hosts share the slots of a server with an overcommitment of 1.5; with a backlog of a sixth of the target any request may try a failed server.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -55,6 +55,18 @@
 	stop   func() bool
 }
 
+// Duplicate returns another exchange of the same request, or nil if its body can be sent only once. It may be called
+// while the exchange is sending, so that it reads only fields that stay as they are.
+func (e *Exchange) Duplicate() table.Runner {
+	if e.Rest != nil {
+		return nil
+	}
+	return &Exchange{
+		Pool: e.Pool, Headers: e.Headers, Request: e.Request, Body: e.Body, Writer: e.Writer, RequestID: e.RequestID,
+		Idempotent: e.Idempotent, Due: e.Due,
+	}
+}
+
 // Send sends the request to the backend server and waits for the response.
 func (e *Exchange) Send(ctx context.Context, s fleet.BackendServer) table.Result {
 	started := time.Now()
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -204,7 +204,7 @@
 	t := &table.Ticket{
 		ID: q.ID, Service: q.Service, Route: q.Route.Name, Rank: q.Rank,
 		Idempotent: q.Route.Idempotent, Bulk: q.Route.Bulk, MaxRuns: q.Route.MaxRuns,
-		Patience: patience(q), Arrived: q.Arrived, Deadline: q.Due, Context: ctx,
+		Patience: patience(q), Arrived: q.Arrived, Deadline: q.Due, Target: q.Route.Target, Context: ctx,
 		Runner: &http1.Exchange{
 			Pool: h.Pool, Headers: h.Headers, Request: r, Body: q.Body, Rest: q.Rest, Writer: w, RequestID: q.ID,
 			Idempotent: q.Route.Idempotent, Due: q.Due,
@@ -233,14 +233,14 @@
 	}
 }
 
-// patience is how long the first attempt of an idempotent request may take: until its response would be late, and no
-// longer than half of its time, which a second attempt needs.
+// patience is how long an attempt of an idempotent request may take before a backup attempt is sent: half of the time in
+// which its response has its full worth, so that the backup can still bring it in time.
 func patience(q request) time.Duration {
-	half := q.Due.Sub(q.Arrived) / 2
+	whole := q.Due.Sub(q.Arrived)
 	if q.Route.Target > 0 {
-		return min(q.Route.Target, half)
+		whole = min(whole, q.Route.Target)
 	}
-	return half
+	return whole / 2
 }
 
 // finish logs the result and writes a refusal if no response was delivered. It aborts the connection of a response that
@@ -330,6 +330,7 @@
 		Dur("wait-ms", result.Waited).
 		Dur("left-ms", time.Until(q.Due)).
 		Int("attempts", result.Attempts).
+		Int("backups", result.Backups).
 		Str("backend-server", result.Address).
 		Dur("retry-after-ms", result.RetryAfter).
 		Msg("request finished")
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -39,8 +39,9 @@
 	// idleTimeout is longer than callers keep idle connections, so that they close them and not the node.
 	idleTimeout    = 75 * time.Second
 	maxHeaderBytes = 64 << 10
-	// exchangeWorkers bounds the requests that a node exchanges with backend servers at the same time.
-	exchangeWorkers = 256
+	// exchangeWorkers bounds the requests that a node exchanges with backend servers at the same time. The largest
+	// deployments have 300 backend servers with 6 slots each behind about five entry hosts.
+	exchangeWorkers = 768
 	// sharers is the number of nodes that are assumed to share the slots of a backend server when its limit starts. The
 	// limit adapts to what the server sheds; half of the usual four entry hosts lets one of them use idle slots.
 	sharers = 2
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -289,6 +289,16 @@
 	n.conns.Sweep(now)
 	n.hosts.Refresh(now, n.load())
 	n.Dispatcher.SetRetries(n.retryTerms())
+	n.Dispatcher.SetSharers(n.sharers())
+}
+
+// sharers is the number of nodes that callers are sent to, if this one is among them. Any other node gets few requests.
+func (n *Node) sharers() int {
+	entries := n.Roster.Entries()
+	if !n.isEntry(entries) {
+		return 0
+	}
+	return len(entries)
 }
 
 // load is the load of the fleet in the unit of the capacities of hosts: what the backend servers can take.
--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // shedFactor is what a shed response leaves of the limit. A cut by 30% keeps more of the slots in use than halving, and
 // is still repeated quickly enough when several nodes share the server.
@@ -11,18 +14,44 @@
 // of the attempts were shed in a surge.
 const growthPause = 2 * time.Second
 
+// overcommit is how far the limits of the nodes that share a server may exceed its slots together. A few requests that wait
+// at the server keep its slots busy during a round trip. More of them would wait where they cannot go to another server any
+// more, and would hold workers that other services need.
+const overcommit = 1.5
+
+// Share returns the most requests that one of the nodes which share a server evenly may have outstanding there. Without a
+// number of nodes it is all slots.
+func Share(slots, sharers int) int {
+	if sharers <= 0 {
+		return slots
+	}
+	return min(slots, int(math.Ceil(overcommit*float64(slots)/float64(sharers))))
+}
+
 // Limit bounds the requests that one node has outstanding at one backend server. It is a fraction, because several
 // nodes share the server's slots.
 type Limit struct {
 	Value float64
 	Slots int
+	// Most bounds the limit, if it is not zero.
+	Most int
 	// LastShed is the time of the last shed response; zero if there was none.
 	LastShed time.Time
 }
 
 // NewLimit returns the limit to start from: the node's part of the slots, if the nodes of the group share them evenly.
 func NewLimit(slots, groupSize int) Limit {
-	return Limit{Value: clampLimit(float64(slots)/float64(max(groupSize, 1)), slots), Slots: slots}
+	l := Limit{Slots: slots}
+	l.set(float64(slots) / float64(max(groupSize, 1)))
+	return l
+}
+
+// Bound sets the most requests that may be outstanding.
+func (l *Limit) Bound(most int) {
+	if l.Most != most {
+		l.Most = most
+		l.set(l.Value)
+	}
 }
 
 // Allows says that one more request may go to the backend server.
@@ -38,17 +67,21 @@
 // Shed lowers the limit after an explicit refusal because of load.
 func (l *Limit) Shed(now time.Time) {
 	l.LastShed = now
-	l.Value = clampLimit(l.Value*shedFactor, l.Slots)
+	l.set(l.Value * shedFactor)
 }
 
 // Success raises the limit after a response that came while the given number of requests, itself included, was
 // outstanding. Below the limit a response says nothing about more load, and nor does it soon after a shed response.
 func (l *Limit) Success(outstanding int, now time.Time) {
 	if outstanding >= l.Max() && now.Sub(l.LastShed) >= growthPause {
-		l.Value = clampLimit(l.Value+1/l.Value, l.Slots)
+		l.set(l.Value + 1/l.Value)
 	}
 }
 
-func clampLimit(v float64, slots int) float64 {
-	return max(min(v, float64(slots)), 1)
+func (l *Limit) set(v float64) {
+	most := l.Slots
+	if l.Most > 0 {
+		most = min(most, l.Most)
+	}
+	l.Value = max(min(v, float64(most)), 1)
 }
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -80,6 +80,28 @@
 	return time.Duration(work / (float64(q.Slots) * r.portion()))
 }
 
+// crowdedPart is the part of the time which a response is to take that the backlog may fill before the queue counts as
+// crowded. It is reached well before requests are refused for want of time.
+const crowdedPart = 1.0 / 6
+
+// Backlog returns how long the slots will work on the requests that wait.
+func Backlog[T any](q *Queue[T]) time.Duration {
+	if q.Slots == 0 {
+		return 0
+	}
+	var work time.Duration
+	for n := range q.Ranks {
+		work += time.Duration(q.Ranks[n].Waiting) * q.Ranks[n].ServiceTime.Mean
+	}
+	return work / time.Duration(q.Slots)
+}
+
+// Crowded says that with the backlog some requests will be refused whose responses are to take no longer than the target.
+// Then a request that is lost in the trial of a failed server costs nothing, because another one is served in its place.
+func Crowded(backlog, target time.Duration) bool {
+	return float64(backlog) > crowdedPart*float64(target)
+}
+
 // ahead returns the number of waiting requests that are served before a new one of the tenant. Tenants are served in
 // turn, so that no other tenant counts for more than the tenant's own number of requests and one.
 func (r *RankQueue[T]) ahead(tenant string) int {
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -69,8 +69,6 @@
 	Runs int
 	// MaxRuns bounds Runs; zero means that only the budget does.
 	MaxRuns int
-	// Paid says that the budget has been charged for the next attempt.
-	Paid bool
 }
 
 // Reason says why a request is or is not attempted again.
@@ -111,7 +109,7 @@
 		return BodyLost
 	case a.MaxRuns > 0 && a.Runs >= a.MaxRuns:
 		return RunsSpent
-	case a.Paid || b.Terms.UnsentFree && !a.Sent || Pay(b):
+	case b.Terms.UnsentFree && !a.Sent || Pay(b):
 		return Allowed
 	default:
 		return BudgetSpent
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -68,9 +68,9 @@
 			if !ok {
 				return
 			}
-			admission.Configure(queue, ranks, setLimits(servers, size, now))
+			admission.Configure(queue, ranks, setLimits(servers, size, int(d.sharers.Load()), now))
 			queue.Deviations = d.Deviations
-			p := poolOf(servers, b.Health[service], now)
+			p := poolOf(servers, queue, b.Health[service], now)
 			for d.assignOne(now, p, q, queue, &late) {
 				q.InFlight++
 			}
@@ -85,12 +85,13 @@
 
 // setLimits gives servers their first limit, and returns the sum of the limits of those that get work. The expected wait
 // of a request depends on it.
-func setLimits(servers map[string]*table.Backend, size int, now time.Time) int {
+func setLimits(servers map[string]*table.Backend, size, sharers int, now time.Time) int {
 	slots := 0
 	for _, s := range servers {
 		if s.Limit.Slots != s.Server.Slots {
 			s.Limit = admission.NewLimit(s.Server.Slots, size)
 		}
+		s.Limit.Bound(admission.Share(s.Server.Slots, sharers))
 		welcome := detect.StandingOf(&s.State, false, now) == detect.Welcome
 		if welcome && healthquery.UseOf(s, false, 0, now) == healthquery.NormalUse {
 			slots += s.Limit.Max()
@@ -134,14 +135,18 @@
 // servicePool is the servers of one service and how far they are loaded.
 type servicePool struct {
 	Servers map[string]*table.Backend
+	// Backlog is how long the slots will work on the requests that wait.
+	Backlog time.Duration
 	// Distressed says that the service loses many requests.
 	Distressed bool
 	// Pressed says that the welcome servers are half full.
 	Pressed bool
 }
 
-func poolOf(servers map[string]*table.Backend, h *table.Health, now time.Time) servicePool {
-	p := servicePool{Servers: servers, Distressed: healthquery.Distressed(h, now)}
+func poolOf(
+	servers map[string]*table.Backend, queue *admission.Queue[*table.Ticket], h *table.Health, now time.Time,
+) servicePool {
+	p := servicePool{Servers: servers, Backlog: admission.Backlog(queue), Distressed: healthquery.Distressed(h, now)}
 	outstanding, limit := 0, 0
 	for _, s := range servers {
 		if !s.Leaving && detect.StandingOf(&s.State, false, now) == detect.Welcome {
@@ -154,9 +159,18 @@
 }
 
 // early says that the ticket may be the trial of a server that failed a short time ago. While servers are scarce it is
-// worth to learn soon that one has recovered, by requests that can be sent to another server.
+// worth to learn soon that one has recovered, by requests that can be sent to another server, and in an overload by any.
 func (p servicePool) early(t *table.Ticket) bool {
-	return p.Distressed || p.Pressed && t.Idempotent && t.Attempt == 0
+	return p.Distressed || p.Pressed && t.Idempotent && t.Attempt == 0 || admission.Crowded(p.Backlog, target(t))
+}
+
+// target is the time that a response is to take.
+func target(t *table.Ticket) time.Duration {
+	whole := t.Deadline.Sub(t.Arrived)
+	if t.Target > 0 {
+		return min(t.Target, whole)
+	}
+	return whole
 }
 
 // assignment notes what the choice of the server was based on.
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -37,6 +37,8 @@
 	Deviations float64
 
 	exchange *pool.Pool[table.Assignment]
+	// sharers is the number of nodes that share the backend servers evenly; zero if it is not known.
+	sharers atomic.Int32
 	// keep says that stalled attempts are not cut any more.
 	keep atomic.Bool
 	// idle is closed when the dispatcher is closing and no request is open.
@@ -67,6 +69,9 @@
 	})
 }
 
+// SetSharers sets the number of nodes that share the slots of the backend servers evenly. Zero means that it is not known.
+func (d *Dispatcher) SetSharers(nodes int) { d.sharers.Store(int32(nodes)) }
+
 // Close takes no more requests, and waits until all admitted ones, those that wait among them, have their result.
 func (d *Dispatcher) Close() {
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
--- a/pkg/dispatchcmd/errors.go
+++ b/pkg/dispatchcmd/errors.go
@@ -44,13 +44,13 @@
 	return fmt.Sprintf("caller gave up a request that waited in the queue of service %q", e.Service)
 }
 
-// StalledError reports an attempt that was cut off in favor of another server.
-type StalledError struct {
+// OvertakenError reports an attempt that was cut off because a backup attempt brought the response.
+type OvertakenError struct {
 	Address string
 }
 
-func (e StalledError) Error() string {
-	return fmt.Sprintf("backend server %s took too long; another one gets the request", e.Address)
+func (e OvertakenError) Error() string {
+	return fmt.Sprintf("backend server %s was overtaken by another one", e.Address)
 }
 
 // AttemptsError reports a request whose last attempt brought no response.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -91,10 +91,12 @@
 	Bulk bool
 	// MaxRuns bounds the attempts that may run the request; zero means no bound but the retry budget.
 	MaxRuns int
-	// Patience is how long an attempt may take while another one is still possible; zero means until the deadline.
+	// Patience is how long an attempt may take before a backup attempt is sent to another server; zero means that none is.
 	Patience time.Duration
 	Arrived  time.Time
 	Deadline time.Time
+	// Target is the time within which a response has its full worth; zero means until the deadline.
+	Target time.Duration
 	// Context ends at the deadline or when the caller gives up.
 	Context context.Context
 	Runner  Runner
@@ -108,10 +110,10 @@
 	Trial bool
 	// Tried lists the addresses of earlier attempts.
 	Tried []string
-	// Paid says that the retry budget has been charged for the next attempt.
-	Paid bool
 	// Runs is the number of earlier attempts that may have run the request.
 	Runs int
+	// Backups is the number of backup attempts.
+	Backups int
 	// MaybeRun says that an earlier attempt may have run the request.
 	MaybeRun bool
 }
@@ -146,6 +148,8 @@
 	Status int
 	// RetryAfter is the wait that the caller should keep before it sends the request again; zero if none is known.
 	RetryAfter time.Duration
+	// Backups is the number of backup attempts.
+	Backups int
 	// Attempts is the number of attempts, Address the backend server of the last one, and Waited the time before the first.
 	Attempts int
 	Address  string
