Try failed servers early in turns, and tell the other entry hosts of recoveries

Cause: in a crowded or distressed service all entry hosts tried a failed server as soon as it might be tried. Tests: TestTurnOf, TestPeerRecovery, a case of TestAvoidance in dispatchcmd (all new behavior).

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -12,6 +12,7 @@
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/pkg/decide/retry"
+	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
 )
@@ -289,16 +290,17 @@
 	n.conns.Sweep(now)
 	n.hosts.Refresh(now, n.load())
 	n.Dispatcher.SetRetries(n.retryTerms())
-	n.Dispatcher.SetSharers(n.sharers())
+	n.Dispatcher.SetSharing(n.sharing())
 }
 
-// sharers is the number of nodes that callers are sent to, if this one is among them. Any other node gets few requests.
-func (n *Node) sharers() int {
+// sharing is the node's place among those that callers are sent to. Any other node gets few requests.
+func (n *Node) sharing() dispatchcmd.Sharing {
 	entries := n.Roster.Entries()
-	if !n.isEntry(entries) {
-		return 0
+	place := slices.IndexFunc(entries, func(h fleet.Host) bool { return h.ID == n.Options.Self.ID })
+	if place < 0 {
+		return dispatchcmd.Sharing{}
 	}
-	return len(entries)
+	return dispatchcmd.Sharing{Place: place, Nodes: len(entries)}
 }
 
 // load is the load of the fleet in the unit of the capacities of hosts: what the backend servers can take.
--- a/internal/node/entrynode/share.go
+++ b/internal/node/entrynode/share.go
@@ -14,50 +14,62 @@
 )
 
 const (
-	// shareDelay collects failures that come together into one message.
+	// shareDelay collects evidence that comes together into one message.
 	shareDelay = 20 * time.Millisecond
 	// trialSpread is the time over which nodes spread their trials of a server. It is many times shareDelay.
 	trialSpread = 2 * time.Second
-	// shareQueue bounds the failures that wait to be told. More than that in 20 ms say nothing new.
+	// shareQueue bounds the sightings that wait to be told. More than that in 20 ms say nothing new.
 	shareQueue = 256
-	// tellWorkers and tellQueue bound the messages about failures that are under way.
+	// tellWorkers and tellQueue bound the messages with evidence that are under way.
 	tellWorkers = 4
 	tellQueue   = 64
 )
 
-// failure is a failed request that other nodes should hear of.
-type failure struct {
-	Server   table.ServerKey
-	Instance string
-	At       time.Time
+// sighting is a backend server that failed or recovered, which other nodes should hear of.
+type sighting struct {
+	Server    table.ServerKey
+	Instance  string
+	Recovered bool
+	At        time.Time
 }
 
 // message is what one host is told.
 type message struct {
-	To       fleet.Host
-	Failures []failure
+	To   fleet.Host
+	Seen []sighting
 }
 
-// sharedHealth records evidence, logs failed attempts, and passes on the failures that other nodes would see as well. A
-// server that cannot be reached from here may be reached from there, and a failure of a single request says nothing of the
-// next one, so that only fast failures are passed on.
+// sharedHealth records evidence, logs failed attempts, and passes on what other nodes would see as well. A server that
+// cannot be reached from here may be reached from there, and a failure of a single request says nothing of the next one,
+// so that only fast failures and recoveries from them are passed on.
 type sharedHealth struct {
 	*healthcmd.Commands
-	failures chan failure
-	logger   zerolog.Logger
+	seen   chan sighting
+	logger zerolog.Logger
 }
 
 func newSharedHealth(c *healthcmd.Commands, logger zerolog.Logger) *sharedHealth {
-	s := &sharedHealth{Commands: c, failures: make(chan failure, shareQueue), logger: logger}
+	s := &sharedHealth{Commands: c, seen: make(chan sighting, shareQueue), logger: logger}
 	c.Sink = s
 	c.Spread = rand.N(trialSpread)
 	return s
 }
 
-// FastFailure implements healthcmd.FailureSink.
+// FastFailure implements healthcmd.EvidenceSink.
 func (s *sharedHealth) FastFailure(now time.Time, key table.ServerKey, instance string) {
+	s.pass(sighting{Server: key, Instance: instance, At: now})
+}
+
+// Recovered implements healthcmd.EvidenceSink.
+func (s *sharedHealth) Recovered(now time.Time, key table.ServerKey, instance string) {
+	s.logger.Info().Str("service", key.Service).Str("backend-server", key.Address).Str("instance", instance).
+		Msg("backend server has passed its trials")
+	s.pass(sighting{Server: key, Instance: instance, Recovered: true, At: now})
+}
+
+func (s *sharedHealth) pass(one sighting) {
 	select {
-	case s.failures <- failure{Server: key, Instance: instance, At: now}:
+	case s.seen <- one:
 	default:
 	}
 }
@@ -75,51 +87,56 @@
 		Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
 }
 
-// shareLoop tells the other entry hosts of failures.
+// shareLoop tells the other entry hosts what was seen of backend servers.
 func (n *Node) shareLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case first := <-n.health.failures:
+		case first := <-n.health.seen:
 			n.share(n.collect(first))
 		}
 	}
 }
 
-func (n *Node) collect(first failure) []failure {
-	list := []failure{first}
+func (n *Node) collect(first sighting) []sighting {
+	list := []sighting{first}
 	timer := time.NewTimer(shareDelay)
 	defer timer.Stop()
 	for {
 		select {
-		case f := <-n.health.failures:
-			list = append(list, f)
+		case one := <-n.health.seen:
+			list = append(list, one)
 		case <-timer.C:
 			return list
 		}
 	}
 }
 
-func (n *Node) share(list []failure) {
+func (n *Node) share(list []sighting) {
 	for _, h := range n.otherEntries() {
-		if err := n.tells.TrySubmit(message{To: h, Failures: list}); err != nil {
-			n.Logger.Debug().Err(err).Str("peer", h.ID).Msg("failures are not told")
+		if err := n.tells.TrySubmit(message{To: h, Seen: list}); err != nil {
+			n.Logger.Debug().Err(err).Str("peer", h.ID).Msg("evidence is not told")
 		}
 	}
 }
 
 func (n *Node) tell(m message) {
 	now := time.Now()
-	out := peerapi.Failures{From: peerapi.HostMessage(n.Roster.Self())}
+	out := peerapi.Evidence{From: peerapi.HostMessage(n.Roster.Self())}
 	out.From.Leaving = n.leaving.Load()
-	for _, f := range m.Failures {
-		out.Failures = append(out.Failures, peerapi.Failure{
-			Service: f.Server.Service, Address: f.Server.Address, Instance: f.Instance,
-			AgeMs: now.Sub(f.At).Milliseconds(),
-		})
+	for _, one := range m.Seen {
+		seen := peerapi.Sighting{
+			Service: one.Server.Service, Address: one.Server.Address, Instance: one.Instance,
+			AgeMs: now.Sub(one.At).Milliseconds(),
+		}
+		if one.Recovered {
+			out.Recovered = append(out.Recovered, seen)
+		} else {
+			out.Failures = append(out.Failures, seen)
+		}
 	}
 	if err := n.peers.Tell(n.calls, m.To.PeerAddress, out); err != nil {
-		n.Logger.Warn().Err(err).Str("peer", m.To.ID).Msg("node was not told of failures")
+		n.Logger.Warn().Err(err).Str("peer", m.To.ID).Msg("node was not told of evidence")
 	}
 }
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -1,5 +1,5 @@
-// Package peerapi holds the messages that nodes exchange: state that is spread from registrars to all nodes, and failures
-// of backend servers that the nodes which serve callers tell each other.
+// Package peerapi holds the messages that nodes exchange: state that is spread from registrars to all nodes, and evidence
+// about backend servers that the nodes which serve callers tell each other.
 package peerapi
 
 import (
@@ -14,7 +14,7 @@
 // Paths of the interface between nodes.
 const (
 	PathSync     = "/peer/sync"
-	PathFailures = "/peer/failures"
+	PathEvidence = "/peer/evidence"
 )
 
 // Host is a host as messages name it.
@@ -62,20 +62,29 @@
 	Offset int64  `json:"offset"`
 }
 
-// Failures tells other nodes of failures of backend servers.
-type Failures struct {
-	From     Host      `json:"from"`
-	Failures []Failure `json:"failures"`
+// Evidence tells other nodes of failures and recoveries of backend servers.
+type Evidence struct {
+	From      Host       `json:"from"`
+	Failures  []Sighting `json:"failures,omitempty"`
+	Recovered []Sighting `json:"recovered,omitempty"`
 }
 
-// Failure is a request that a backend server failed.
-type Failure struct {
+// Sighting is a backend server that failed a request or has recovered.
+type Sighting struct {
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	Instance string `json:"instance,omitempty"`
 	AgeMs    int64  `json:"age-ms"`
 }
 
+// Key returns the key of the backend server.
+func (s Sighting) Key() table.ServerKey {
+	return table.ServerKey{Service: s.Service, Address: s.Address}
+}
+
+// Age returns the time since it was seen.
+func (s Sighting) Age() time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+
 // HostMessage returns the message form of a host.
 func HostMessage(h fleet.Host, ready bool) Host {
 	return Host{
--- a/internal/peer/peerclient/peerclient.go
+++ b/internal/peer/peerclient/peerclient.go
@@ -59,9 +59,9 @@
 	return response, eris.Wrap(json.Unmarshal(body, &response), "decode response of a node")
 }
 
-// Tell tells the node at the address of failures.
-func (c *Client) Tell(ctx context.Context, address string, m peerapi.Failures) error {
-	_, err := c.post(ctx, address, peerapi.PathFailures, m)
+// Tell tells the node at the address what was seen of backend servers.
+func (c *Client) Tell(ctx context.Context, address string, m peerapi.Evidence) error {
+	_, err := c.post(ctx, address, peerapi.PathEvidence, m)
 	return err
 }
 
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -25,9 +25,10 @@
 	compressBytes = 4 << 10
 )
 
-// FailureObserver records failures that other nodes saw.
-type FailureObserver interface {
+// EvidenceObserver records what other nodes saw of backend servers.
+type EvidenceObserver interface {
 	ObservePeerFailure(now time.Time, key table.ServerKey, instance string, age time.Duration)
+	ObservePeerRecovery(now time.Time, key table.ServerKey, instance string, age time.Duration)
 }
 
 // Server answers other nodes from the tables of this one.
@@ -35,7 +36,7 @@
 	Hosts    *rostercmd.Commands
 	Roster   *rosterquery.Queries
 	Replicas *replicaquery.Queries
-	Health   FailureObserver
+	Health   EvidenceObserver
 	Logger   zerolog.Logger
 }
 
@@ -43,7 +44,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peerapi.PathSync, s.sync)
-	mux.HandleFunc("POST "+peerapi.PathFailures, s.failures)
+	mux.HandleFunc("POST "+peerapi.PathEvidence, s.evidence)
 	return mux
 }
 
@@ -95,20 +96,32 @@
 	return eris.Wrap(packer.Close(), "send response")
 }
 
-func (s *Server) failures(w http.ResponseWriter, r *http.Request) {
-	var m peerapi.Failures
+func (s *Server) evidence(w http.ResponseWriter, r *http.Request) {
+	var m peerapi.Evidence
 	if !s.decode(w, r, &m) {
 		return
 	}
 	now := time.Now()
 	s.Hosts.Hear(now, m.From.Announcement())
-	for _, f := range m.Failures {
-		key := table.ServerKey{Service: f.Service, Address: f.Address}
-		s.Health.ObservePeerFailure(now, key, f.Instance, time.Duration(f.AgeMs)*time.Millisecond)
+	s.Logger.Info().Str("peer", m.From.ID).Strs("failed", addresses(m.Failures)).Strs("recovered", addresses(m.Recovered)).
+		Msg("peer saw backend servers")
+	for _, seen := range m.Failures {
+		s.Health.ObservePeerFailure(now, seen.Key(), seen.Instance, seen.Age())
+	}
+	for _, seen := range m.Recovered {
+		s.Health.ObservePeerRecovery(now, seen.Key(), seen.Instance, seen.Age())
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func addresses(list []peerapi.Sighting) []string {
+	out := make([]string, len(list))
+	for i, seen := range list {
+		out[i] = seen.Address
+	}
+	return out
+}
+
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, m any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(m)
 	if err != nil {
--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -45,6 +45,8 @@
 	LastSlow time.Time
 	// Passed counts the trials in a row that succeeded since the avoidance ended.
 	Passed int
+	// Hinted says that a peer found the server to have recovered.
+	Hinted bool
 	// Unreached counts connections in a row that could not be made.
 	Unreached int
 }
@@ -93,6 +95,7 @@
 func avoidAfter(s *State, sign Sign, spread time.Duration, now time.Time) {
 	a := &s.Avoidance
 	a.Passed = 0
+	a.Hinted = false
 	switch sign {
 	case SignFast, SignPeer:
 		if now.Sub(a.Began) > phaseTime {
@@ -154,6 +157,36 @@
 	return x.Latency*fastRatio < b.Latency
 }
 
+// TurnOf returns which of the nodes that share a server evenly may try it early. If all of them did, a failing server would
+// lose a request of each.
+func TurnOf(address string, nodes int, now time.Time) int {
+	var offset uint64
+	for n := range len(address) {
+		offset = offset*31 + uint64(address[n])
+	}
+	turn := uint64(now.UnixNano() / int64(earlyHold))
+	return int((offset + turn) % uint64(max(nodes, 1)))
+}
+
+// ObservePeerRecovery counts that a peer found the server to have recovered some time ago. One request of the node's own
+// still has to succeed. It does not count if the server has failed since.
+func ObservePeerRecovery(s *State, age time.Duration, now time.Time) {
+	a := &s.Avoidance
+	if a.Until.IsZero() || !s.LastFailure.Before(now.Add(-age)) {
+		return
+	}
+	a.Hinted = true
+	a.Passed = neededPasses - 1
+	if now.Before(a.Until) {
+		a.Until = now
+	}
+}
+
+// Recovered says that the server has just come back by trials of this node alone, so that its peers do not know it yet.
+func Recovered(before, after *Avoidance) bool {
+	return !before.Until.IsZero() && after.Until.IsZero() && !before.Hinted
+}
+
 // ObservePeerFailure counts a fast failure that a peer saw some time ago.
 func ObservePeerFailure(s *State, age time.Duration, b Baseline, t Settings, now time.Time) {
 	if now.Add(-age).Before(s.Appeared) {
--- a/pkg/decide/detect/avoid_test.go
+++ b/pkg/decide/detect/avoid_test.go
@@ -1,6 +1,7 @@
 package detect
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +100,72 @@
 		assertStanding(t, s, false, at.Add(unreachableHold), Avoid)
 	})
 }
+
+// TestTurnOf guards against a failing server that loses a request of each node whenever it may be tried.
+func TestTurnOf(t *testing.T) {
+	t.Run("each node has its turn", func(t *testing.T) {
+		for nodes := 1; nodes <= 40; nodes++ {
+			turns := map[int]int{}
+			for k := range nodes {
+				turns[TurnOf("10.1.64.8:8080", nodes, start.Add(time.Duration(k)*earlyHold))]++
+			}
+			if len(turns) != nodes {
+				t.Errorf("%d of %d nodes had a turn", len(turns), nodes)
+			}
+		}
+	})
+	t.Run("servers are tried by different nodes", func(t *testing.T) {
+		turns := map[int]int{}
+		for k := range 100 {
+			turns[TurnOf(fmt.Sprintf("10.1.64.%d:8080", k), 4, start)]++
+		}
+		for node, n := range turns {
+			if n > 50 {
+				t.Errorf("node %d has the turn of %d of 100 servers", node, n)
+			}
+		}
+	})
+}
+
+func TestPeerRecovery(t *testing.T) {
+	failed := func() *State {
+		s := &State{}
+		observeAt(s, fleet.Failed, 3*time.Millisecond, start)
+		return s
+	}
+	at := start.Add(5 * time.Second)
+	// Guards against nodes that leave a server unused after one of them has found it to work.
+	t.Run("it leaves one trial to the node itself", func(t *testing.T) {
+		s := failed()
+		ObservePeerRecovery(s, 20*time.Millisecond, at)
+		assertStanding(t, s, false, at, Probation)
+		observeAt(s, fleet.Succeeded, 300*time.Millisecond, at.Add(time.Second))
+		assertStanding(t, s, false, at.Add(time.Second), Welcome)
+	})
+	t.Run("it does not count if the server has failed since", func(t *testing.T) {
+		s := failed()
+		ObservePeerRecovery(s, 6*time.Second, at)
+		assertStanding(t, s, false, at, Avoid)
+	})
+	t.Run("a failure after it counts in full", func(t *testing.T) {
+		s := failed()
+		ObservePeerRecovery(s, 20*time.Millisecond, at)
+		observeAt(s, fleet.Failed, 3*time.Millisecond, at.Add(time.Second))
+		assertStanding(t, s, false, at.Add(time.Second), Avoid)
+		observeAt(s, fleet.Succeeded, 300*time.Millisecond, at.Add(6*time.Second))
+		assertStanding(t, s, false, at.Add(6*time.Second), Probation)
+	})
+	// Guards against messages about one recovery that all nodes send to each other.
+	t.Run("it is not told again", func(t *testing.T) {
+		own, hinted := failed(), failed()
+		ObservePeerRecovery(hinted, 20*time.Millisecond, at)
+		for s, want := range map[*State]bool{own: true, hinted: false} {
+			before := s.Avoidance
+			observeAt(s, fleet.Succeeded, 300*time.Millisecond, at.Add(time.Second))
+			observeAt(s, fleet.Succeeded, 300*time.Millisecond, at.Add(10*time.Second))
+			if Recovered(&before, &s.Avoidance) != want {
+				t.Errorf("the recovery is told: %v, want %v", !want, want)
+			}
+		}
+	})
+}
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -60,6 +60,7 @@
 		ranks = c.Ranks
 		size = cmp.Or(c.Services[service].GroupSize, size)
 	}
+	sharing := d.place()
 	var late []*table.Ticket
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		servers := b.Services[service]
@@ -68,9 +69,10 @@
 			if !ok {
 				return
 			}
-			admission.Configure(queue, ranks, setLimits(servers, size, int(d.sharers.Load()), now))
+			admission.Configure(queue, ranks, setLimits(servers, size, sharing.Nodes, now))
 			queue.Deviations = d.Deviations
 			p := poolOf(servers, queue, b.Health[service], now)
+			p.Sharing = sharing
 			for d.assignOne(now, p, q, queue, &late) {
 				q.InFlight++
 			}
@@ -135,6 +137,7 @@
 // servicePool is the servers of one service and how far they are loaded.
 type servicePool struct {
 	Servers map[string]*table.Backend
+	Sharing Sharing
 	// Backlog is how long the slots will work on the requests that wait.
 	Backlog time.Duration
 	// Distressed says that the service loses many requests.
@@ -158,12 +161,26 @@
 	return p
 }
 
+// standing returns how the server is to be used for the ticket.
+func (p servicePool) standing(s *table.Backend, t *table.Ticket, now time.Time) detect.Standing {
+	standing := detect.StandingOf(&s.State, false, now)
+	if standing == detect.Avoid && p.early(t) && p.turn(s, now) {
+		return detect.StandingOf(&s.State, true, now)
+	}
+	return standing
+}
+
 // early says that the ticket may be the trial of a server that failed a short time ago. While servers are scarce it is
 // worth to learn soon that one has recovered, by requests that can be sent to another server, and in an overload by any.
 func (p servicePool) early(t *table.Ticket) bool {
 	return p.Distressed || p.Pressed && t.Idempotent && t.Attempt == 0 || admission.Crowded(p.Backlog, target(t))
 }
 
+// turn says that the early trial of the server is this node's. A node without a place among the others has few requests.
+func (p servicePool) turn(s *table.Backend, now time.Time) bool {
+	return p.Sharing.Nodes == 0 || detect.TurnOf(s.Server.Address, p.Sharing.Nodes, now) == p.Sharing.Place
+}
+
 // target is the time that a response is to take.
 func target(t *table.Ticket) time.Duration {
 	whole := t.Deadline.Sub(t.Arrived)
@@ -176,7 +193,7 @@
 // assignment notes what the choice of the server was based on.
 func assignment(p servicePool, t *table.Ticket, s *table.Backend, now time.Time) table.Assignment {
 	a := table.Assignment{
-		Ticket: t, Server: s.Server, Standing: detect.StandingOf(&s.State, p.early(t), now), Outstanding: s.Outstanding,
+		Ticket: t, Server: s.Server, Standing: p.standing(s, t, now), Outstanding: s.Outstanding,
 	}
 	t.Trial = a.Standing == detect.Probation
 	if !s.State.LastFailure.IsZero() {
@@ -205,7 +222,7 @@
 		if use == healthquery.NoUse {
 			continue
 		}
-		standing := detect.StandingOf(&s.State, p.early(t), now)
+		standing := p.standing(s, t, now)
 		if standing == detect.Avoid && avoid || standing == detect.Probation && s.Outstanding > 0 {
 			continue
 		}
@@ -238,7 +255,7 @@
 			continue
 		}
 		usable++
-		if detect.StandingOf(&s.State, p.early(t), now) == detect.Welcome {
+		if p.standing(s, t, now) == detect.Welcome {
 			welcome++
 		}
 	}
--- a/pkg/dispatchcmd/avoid_test.go
+++ b/pkg/dispatchcmd/avoid_test.go
@@ -86,6 +86,24 @@
 			is.True(count(flood, "s0") > 2) // two trials and regular requests after them
 		})
 	})
+	// Guards against a failing server that loses a request of each node of a crowded fleet at a time.
+	t.Run("a crowded pool leaves the trial to the node whose turn it is", func(t *testing.T) {
+		sent := 0
+		for place := range 4 {
+			trial(t, 32, 3, func(is *is.I, n *node) {
+				n.learn(time.Second)
+				n.SetSharing(Sharing{Place: place, Nodes: 4})
+				n.failFast("s0", 3*time.Second)
+				now := n.tickets(1)[0]
+				flood := n.unsafe(24, 6*time.Second)
+				wait := n.start(flood...)
+				is.True(now.Arrived.Equal(flood[0].Arrived)) // all nodes look at the same time
+				sent += count(flood[:20], "s0")
+				wait()
+			})
+		}
+		is.New(t).True(sent <= 2) // those of one node
+	})
 	// Guards against bookings that are lost to trials of a pool which serves all of them in time.
 	t.Run("a pool with a short queue does not", func(t *testing.T) {
 		trial(t, 32, 3, func(is *is.I, n *node) {
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -37,8 +37,8 @@
 	Deviations float64
 
 	exchange *pool.Pool[table.Assignment]
-	// sharers is the number of nodes that share the backend servers evenly; zero if it is not known.
-	sharers atomic.Int32
+	// sharing is the node's place among those that share the backend servers evenly.
+	sharing atomic.Pointer[Sharing]
 	// keep says that stalled attempts are not cut any more.
 	keep atomic.Bool
 	// idle is closed when the dispatcher is closing and no request is open.
@@ -69,8 +69,22 @@
 	})
 }
 
-// SetSharers sets the number of nodes that share the slots of the backend servers evenly. Zero means that it is not known.
-func (d *Dispatcher) SetSharers(nodes int) { d.sharers.Store(int32(nodes)) }
+// Sharing is the place of a node among the nodes that share the backend servers evenly. The zero value is a node of which
+// this is not known.
+type Sharing struct {
+	Place int
+	Nodes int
+}
+
+// SetSharing sets the node's place among the nodes that share the backend servers evenly.
+func (d *Dispatcher) SetSharing(s Sharing) { d.sharing.Store(&s) }
+
+func (d *Dispatcher) place() Sharing {
+	if s := d.sharing.Load(); s != nil {
+		return *s
+	}
+	return Sharing{}
+}
 
 // Close takes no more requests, and waits until all admitted ones, those that wait among them, have their result.
 func (d *Dispatcher) Close() {
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -23,21 +23,24 @@
 	Tables *table.Tables
 	// Trace receives every evidence event; nil if no trace is recorded.
 	Trace Recorder
-	// Sink receives the failures that say that a server fails whoever asks it; nil if nobody is told.
-	Sink FailureSink
+	// Sink receives what holds for a server whoever asks it; nil if nobody is told.
+	Sink EvidenceSink
 	// Spread is this node's part of the spread of trials over nodes.
 	Spread time.Duration
 }
 
-// FailureSink takes failures that other nodes should hear of. FastFailure must not block.
-type FailureSink interface {
+// EvidenceSink takes evidence that other nodes should hear of. Its methods must not block.
+type EvidenceSink interface {
+	// FastFailure reports a server that failed before it can have done any work.
 	FastFailure(now time.Time, key table.ServerKey, instance string)
+	// Recovered reports a server that was avoided and has passed its trials.
+	Recovered(now time.Time, key table.ServerKey, instance string)
 }
 
 // Observe records the result of an attempt. It must be called before the attempt is removed from the requests in flight.
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	var fast bool
+	var fast, recovered bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		s, health := touch(b, key, now)
 		if s == nil {
@@ -50,13 +53,18 @@
 		x := detect.Sample{
 			Evidence: r.Evidence, Latency: r.Latency, Ticket: a.Ticket.ID, Age: s.InFlight[a.Ticket.ID].Age,
 		}
+		before := s.State.Avoidance
 		detect.Observe(&s.State, x, baseline, health.Settings, now)
+		recovered = detect.Recovered(&before, &s.State.Avoidance)
 		fast = s.State.LastSign == detect.SignFast && s.State.LastFailure.Equal(now)
 		leavingSign(s, r.Evidence, r.Leaving, now)
 	})
 	if fast && c.Sink != nil {
 		c.Sink.FastFailure(now, key, a.Server.Instance)
 	}
+	if recovered && c.Sink != nil {
+		c.Sink.Recovered(now, key, a.Server.Instance)
+	}
 	c.record(trace.Event{
 		At: now, Kind: trace.Ended, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 		Evidence: r.Evidence, Latency: r.Latency, Leaving: r.Leaving,
