Let downloads use all slots of the servers in their zone

Change: for large responses the share is that among the entry hosts of the zone. Test: TestBulk (failed before).

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -300,7 +300,13 @@
 	if place < 0 {
 		return dispatchcmd.Sharing{}
 	}
-	return dispatchcmd.Sharing{Place: place, Nodes: len(entries)}
+	sharing := dispatchcmd.Sharing{Place: place, Nodes: len(entries)}
+	for _, h := range entries {
+		if h.AvailabilityZone == n.Options.Self.AvailabilityZone {
+			sharing.InZone++
+		}
+	}
+	return sharing
 }
 
 // load is the load of the fleet in the unit of the capacities of hosts: what the backend servers can take.
--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -65,6 +65,15 @@
 	return int(l.Value)
 }
 
+// Widen returns the limit raised to the given number of requests, unless the server shed a request lately.
+func (l *Limit) Widen(most int, now time.Time) Limit {
+	wide := *l
+	if now.Sub(l.LastShed) >= growthPause {
+		wide.Value = max(l.Value, float64(min(most, l.Slots)))
+	}
+	return wide
+}
+
 // Shed lowers the limit after an explicit refusal because of load.
 func (l *Limit) Shed(now time.Time) {
 	l.LastShed = now
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -251,7 +251,7 @@
 		}
 		trial := use == healthquery.TrialUse || standing == detect.Probation && t.Idempotent && t.Attempt == 0
 		candidates = append(candidates, admission.Server{
-			Address: address, Outstanding: s.Outstanding, Limit: s.Limit, Trial: trial,
+			Address: address, Outstanding: s.Outstanding, Limit: p.limit(s, t, zone, now), Trial: trial,
 			Avoided: standing == detect.Avoid, Detour: detour(s, t, zone),
 		})
 	}
@@ -262,6 +262,15 @@
 	return p.Servers[candidates[n].Address]
 }
 
+// limit returns the limit of the server for the ticket. Large responses stay in their zone, so that only the nodes of the
+// zone share a server with them.
+func (p servicePool) limit(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
+	if !t.Bulk || p.Sharing.InZone == 0 || s.Server.AvailabilityZone != zone {
+		return s.Limit
+	}
+	return s.Limit.Widen(admission.Share(s.Server.Slots, p.Sharing.InZone, 1), now)
+}
+
 // fewestWelcome is the part of a pool that has to be welcome for the others to be avoided altogether. Servers that fail at
 // once have room for any number of requests, so that in an overload they would take what the others cannot.
 const fewestWelcome = 0.2
--- a/pkg/dispatchcmd/avoid_test.go
+++ b/pkg/dispatchcmd/avoid_test.go
@@ -75,6 +75,36 @@
 	}
 }
 
+// TestBulk guards against downloads that cross zones although the servers of the zone have free slots.
+func TestBulk(t *testing.T) {
+	for name, c := range map[string]struct {
+		bulk bool
+		want int
+	}{
+		"downloads use all slots of the zone": {true, 2},
+		"other requests use the even share":   {false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			trial(t, 32, 3, func(is *is.I, n *node) {
+				n.AvailabilityZone = "here"
+				n.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+					b.Services[service]["s1"].Server.AvailabilityZone = "here"
+				})
+				n.SetSharing(Sharing{Nodes: 3, InZone: 1})
+				var busy []*table.Ticket
+				for range 3 {
+					one := n.ticket("a", time.Minute, &runner{})
+					one.Bulk = c.bulk
+					busy = append(busy, one)
+				}
+				wait := n.start(busy...)
+				is.Equal(n.outstanding("s1"), c.want)
+				wait()
+			})
+		})
+	}
+}
+
 func TestAvoidance(t *testing.T) {
 	t.Run("an avoided server gets nothing while others serve", func(t *testing.T) {
 		trial(t, 8, 3, func(_ *is.I, n *node) {
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -74,6 +74,8 @@
 type Sharing struct {
 	Place int
 	Nodes int
+	// InZone is the number of these nodes in the node's availability zone, itself included.
+	InZone int
 }
 
 // SetSharing sets the node's place among the nodes that share the backend servers evenly.
