Report the last change of each key in a batch of the log

Cause: after an absence of the log one read can hold the removal of a server's entry and its return. Ruled out: a cut of the nodes from the servers (no unreachable attempts), an empty registry in the log (36 entries set).

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 )
 
@@ -77,6 +78,7 @@
 	if b.Whole {
 		drop(s, b, &c)
 	}
+	c.settle(s)
 	s.Next = max(s.Next, b.Next)
 	if b.AsOf.After(s.AsOf) {
 		s.AsOf = b.AsOf
@@ -85,6 +87,19 @@
 	return c
 }
 
+// settle leaves the last change of each key. A batch may hold the removal of a key and its return.
+func (c *Changes) settle(s *State) {
+	c.Set = slices.DeleteFunc(c.Set, func(r Record) bool {
+		current, known := s.Records[r.Key]
+		return !known || current.Offset != r.Offset
+	})
+	slices.Sort(c.Removed)
+	c.Removed = slices.DeleteFunc(slices.Compact(c.Removed), func(key string) bool {
+		_, known := s.Records[key]
+		return known
+	})
+}
+
 func set(s *State, r Record, every bool, same func(a, b []byte) bool, c *Changes) {
 	old, known := s.Records[r.Key]
 	if known && old.Offset >= r.Offset || s.Removed[r.Key] > r.Offset {
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -122,3 +122,29 @@
 		}
 	})
 }
+
+// TestOneBatch guards against entries that expired and came back within one batch, as after an absence of the log: taken as
+// removed, all backend servers were dropped.
+func TestOneBatch(t *testing.T) {
+	remove := func(offset int64) Record { return Record{Key: "k", Offset: offset} }
+	enter := func(offset int64) Record { return Record{Key: "k", Value: []byte("v"), Offset: offset} }
+	for name, c := range map[string]struct {
+		records      []Record
+		set, removed int
+	}{
+		"removed and entered again": {[]Record{remove(2), enter(3)}, 1, 0},
+		"entered and removed":       {[]Record{enter(2), remove(3)}, 0, 1},
+		"removed, entered, removed": {[]Record{remove(2), enter(3), remove(4)}, 0, 1},
+		"removed twice":             {[]Record{remove(2), remove(3)}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &State{}
+			Apply(s, Batch{Records: []Record{enter(1)}, Next: 2, Every: true, AsOf: time.Now()}, nil, time.Now())
+			last := c.records[len(c.records)-1].Offset
+			changes := Apply(s, Batch{Records: c.records, Next: last + 1, Every: true, AsOf: time.Now()}, nil, time.Now())
+			is.Equal(len(changes.Set), c.set)
+			is.Equal(len(changes.Removed), c.removed)
+		})
+	}
+}
