--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -21,12 +21,8 @@
 	// syncPeriod is the time between two messages to registrars. With the time between two reads of the log it bounds how
 	// long a node may miss that a backend server is leaving.
 	syncPeriod = 300 * time.Millisecond
-	// startPeriod takes its place in the startTime after a start, until registrars are known. When all hosts restart, those
-	// that are asked first may still be down.
-	startPeriod = 100 * time.Millisecond
-	startTime   = 2 * time.Second
-	// syncWorkers lets hosts that do not answer, such as all seeds after a loss of power, hold up no other.
-	syncWorkers = 6
+	// syncWorkers lets a registrar that does not answer hold up no other.
+	syncWorkers = 3
 	// strangerEvery is the number of sync periods after which a known host that is not live is contacted, so that two
 	// parts of the fleet that lost each other meet again.
 	strangerEvery = 12
@@ -106,22 +102,11 @@
 	for _, address := range *n.seeds.Load() {
 		n.submitSync(fleet.Host{PeerAddress: address})
 	}
-	starting, cancel := context.WithTimeout(ctx, startTime)
-	defer cancel()
-	every(starting, startPeriod, func(turn int) {
-		if len(n.Roster.Registrars()) > 0 {
-			cancel()
-			return
+	every(ctx, syncPeriod, func(turn int) {
+		if h, found := n.syncTarget(turn); found {
+			n.submitSync(h)
 		}
-		n.syncNext(turn)
 	})
-	every(ctx, syncPeriod, n.syncNext)
-}
-
-func (n *Node) syncNext(turn int) {
-	if h, found := n.syncTarget(turn); found {
-		n.submitSync(h)
-	}
 }
 
 func (n *Node) submitSync(h fleet.Host) {
