Log why no attempt followed a failed one

Cause: a 500 of a server that was passed on had no reason in its line. Change: the field ended of request finished.

--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -331,6 +331,7 @@
 		Dur("left-ms", time.Until(q.Due)).
 		Int("attempts", result.Attempts).
 		Int("backups", result.Backups).
+		Str("ended", string(result.Ended)).
 		Str("backend-server", result.Address).
 		Dur("retry-after-ms", result.RetryAfter).
 		Msg("request finished")
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -43,6 +43,9 @@
 		r.RetryAfter = d.retryAfter(t)
 		r.Err = AttemptsError{Attempts: t.Attempt + 1, Reason: reason, Err: r.Err}
 	}
+	if reason != retry.Complete {
+		r.Ended = reason
+	}
 	r.Attempts = t.Attempt + 1
 	r.Backups = t.Backups
 	r.Address = a.Server.Address
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -148,6 +148,8 @@
 	Status int
 	// RetryAfter is the wait that the caller should keep before it sends the request again; zero if none is known.
 	RetryAfter time.Duration
+	// Ended is why a failed attempt was the last one; empty if a response stands.
+	Ended retry.Reason
 	// Backups is the number of backup attempts.
 	Backups int
 	// Attempts is the number of attempts, Address the backend server of the last one, and Waited the time before the first.
