--- a/pkg/dispatchcmd/backup_test.go
+++ b/pkg/dispatchcmd/backup_test.go
@@ -137,6 +137,18 @@
 			})
 		})
 	}
+	// Guards against a third run of a request whose route allows two.
+	t.Run("two attempts that fail are all", func(t *testing.T) {
+		trial(t, 8, 3, func(is *is.I, n *node) {
+			failed := table.Result{Evidence: fleet.Failed, Sent: true, Response: true, Status: 500}
+			one, record := n.lookup(everywhere(2500*time.Millisecond), map[string]table.Result{"s0": failed, "s1": failed, "s2": failed})
+			one.Deadline = one.Arrived.Add(time.Minute)
+			one.Context = context.Background()
+			r := n.do(one)
+			is.Equal(len(record.sent), 2)
+			is.Equal(r.Ended, retry.RunsSpent)
+		})
+	})
 	t.Run("a caller that leaves ends both attempts", func(t *testing.T) {
 		trial(t, 8, 2, func(is *is.I, n *node) {
 			one, record := n.lookup(everywhere(time.Minute), nil)
