After a restart of all nodes, contact the entry hosts of before, and have only those read the log at once

Causes: - After a loss of power each node knows only itself for about a second: callers are sent to weak hosts, which hear nothing of the failures that the others see. Changes: entry hosts enter themselves in the topic of hosts; a node that restarts contacts them, one every 100 ms, for 2 s, and lets callers keep its answers for 0.5 s; only these hosts and the seeds read the registry at once, the others after 1.2 s without news; the bound of 0.9 s is that of one call and not of all pages.

--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -66,6 +66,8 @@
 	Headers dialect.Headers
 	// MaxBody bounds a request body, in bytes.
 	MaxBody int64
+	// EntryTTL is how long callers may keep an answer of the directory.
+	EntryTTL time.Duration
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// RetryRatio and RetryBurst bound the arrivals at a service beyond the first of each request, for the whole fleet: a
@@ -98,6 +100,7 @@
 	Replicas   *replicaquery.Queries
 	Logger     zerolog.Logger
 
+	started  time.Time
 	log      Log
 	hosts    *rostercmd.Commands
 	replicas *replicacmd.Commands
@@ -121,7 +124,9 @@
 	logLost    atomic.Bool
 	seeds      atomic.Pointer[[]string]
 	registered atomic.Bool
-	changed    chan struct{}
+	// former says that the node was an entry host before it restarted, so that others wait for it.
+	former  atomic.Bool
+	changed chan struct{}
 	// served is closed when the node is ready for the first time.
 	served  chan struct{}
 	failed  chan error
@@ -139,7 +144,7 @@
 func New(o Options, log Log, d replicacmd.Decoder, logger zerolog.Logger) (*Node, error) {
 	t := table.New(o.Self, "")
 	n := &Node{
-		Options: o, Tables: t, Config: configquery.Query{Config: t.Config}, Logger: logger, log: log,
+		Options: o, Tables: t, Config: configquery.Query{Config: t.Config}, Logger: logger, log: log, started: time.Now(),
 		Roster: &rosterquery.Queries{Tables: t}, Replicas: &replicaquery.Queries{Tables: t},
 		hosts: rostercmd.New(t, logger), replicas: replicacmd.New(t, log, d, sharers, logger),
 		peers: peerclient.New(), conns: http1.NewPool(),
@@ -200,7 +205,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var done sync.WaitGroup
-	for _, loop := range []func(context.Context){n.syncLoop, n.readLoop, n.tickLoop, n.shareLoop, n.announceLoop} {
+	for _, loop := range []func(context.Context){n.syncLoop, n.readLoop, n.tickLoop, n.shareLoop, n.announceLoop, n.contactLoop} {
 		done.Go(func() { loop(background) })
 	}
 	for _, s := range n.servers {
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -21,8 +21,8 @@
 	// syncPeriod is the time between two messages to registrars. With the time between two reads of the log it bounds how
 	// long a node may miss that a backend server is leaving.
 	syncPeriod = 300 * time.Millisecond
-	// syncWorkers lets a registrar that does not answer hold up no other.
-	syncWorkers = 3
+	// syncWorkers lets hosts that do not answer, such as all entry hosts after a loss of power, hold up no other.
+	syncWorkers = 6
 	// strangerEvery is the number of sync periods after which a known host that is not live is contacted, so that two
 	// parts of the fleet that lost each other meet again.
 	strangerEvery = 12
@@ -37,10 +37,12 @@
 	otherAge = 1800 * time.Millisecond
 	// ageJitter spreads the reads of nodes whose copies have the same age.
 	ageJitter = 150 * time.Millisecond
-	// firstRead is how long a new node waits for a registrar before it reads the log.
+	// firstRead is how long a new node waits for a registrar before it reads the log. If all hosts read a large registry at once,
+	// they share the rate of the log, and none of them has it for seconds.
 	firstRead = 1200 * time.Millisecond
-	// readTimeout bounds one call of the log. It is far above the usual 4 ms, and a slow log still answers within it.
-	readTimeout = 900 * time.Millisecond
+	// readTimeout bounds the calls that read one topic or append to it; the client of the log bounds each call. A registry of
+	// thousands of servers takes several calls, which hundreds of nodes make at the same time after a loss of power.
+	readTimeout = 10 * time.Second
 	// readBackoff is the longest pause of a registrar after failed reads, and firstBackoff the shortest. All others leave the
 	// store to the registrars for up to otherBackoff, because every call of a hundred nodes is counted while it is down.
 	readBackoff  = 1600 * time.Millisecond
@@ -54,7 +56,7 @@
 	usedPart = 0.9
 	// announcePeriod is the time between two looks at whether the host has to be entered in the topic of hosts.
 	announcePeriod = time.Second
-	// settledLooks is the number of looks in a row after which a registrar enters itself.
+	// settledLooks is the number of looks in a row after which an entry host enters itself.
 	settledLooks = 3
 	// hostsEvery is the number of announce periods after which a registrar reads the topic of hosts.
 	hostsEvery = 10
@@ -222,7 +224,7 @@
 		limit = registrarAge + time.Duration(place)*registrarStep
 	}
 	if age > time.Hour { // never complete
-		return !n.Options.FirstStart || now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.isSeed()
+		return now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.isSeed() || n.former.Load()
 	}
 	return age > limit+n.jitter
 }
@@ -348,17 +350,17 @@
 	}
 }
 
-// announceLoop enters the host in the topic of hosts while the node is a registrar, so that a new host whose seeds are
-// stale finds the fleet, and learns the hosts of the topic.
+// announceLoop enters the host in the topic of hosts while callers are sent to it, so that a host that starts with stale
+// seeds or among others that start finds the fleet, and learns the hosts of the topic.
 func (n *Node) announceLoop(ctx context.Context) {
-	var since int // the number of looks in a row at which the node was a registrar
+	var since int // the number of looks in a row at which the node was an entry host
 	every(ctx, announcePeriod, func(turn int) {
 		registrar := n.Roster.RegistrarPlace() >= 0
 		since++
-		if !registrar {
+		if !n.isEntry(n.Roster.Entries()) {
 			since = 0
 		}
-		// A node that has just started knows few others and may take itself for a registrar.
+		// A node that has just started knows few others and may take itself for an entry host.
 		if since >= settledLooks && !n.registered.Load() {
 			n.register(ctx)
 		}
@@ -384,10 +386,12 @@
 	n.registered.Store(true)
 }
 
-func (n *Node) learnHosts(ctx context.Context) {
+// learnHosts reads the topic of hosts and returns them, or nil if the log does not answer.
+func (n *Node) learnHosts(ctx context.Context) []fleet.Host {
 	if !n.readTopic(ctx, table.TopicHosts) {
-		return
+		return nil
 	}
+	hosts := []fleet.Host{}
 	var list []rostercmd.Announcement
 	for _, r := range n.Replicas.Records(table.TopicHosts) {
 		var m peerapi.Host
@@ -396,8 +400,10 @@
 			continue
 		}
 		list = append(list, m.Announcement())
+		hosts = append(hosts, m.Announcement().Host)
 	}
 	n.hosts.Learn(list)
+	return hosts
 }
 
 // announceLeaving tells the hosts that choose entry hosts for callers that the node is leaving.
