Have the seeds read the log for a new fleet

Cause: no host is ready before the first configuration, so that there are no registrars, and after 1.8 s every host read the log (83 calls of 44 hosts), after it had read the empty topic of hosts (40 calls). Change: while a new fleet has no entry host, its seeds read as registrars do, the others after 4 s; the topic of hosts is not read. Test: TestFirstConfiguration (new behavior).

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -35,6 +35,8 @@
 	registrarStep = 350 * time.Millisecond
 	// otherAge is the age at which any other node reads the log itself: its registrars have failed to bring news.
 	otherAge = 1800 * time.Millisecond
+	// unreadyAge takes its place while a new fleet waits for its first configuration, so that not every host asks for it.
+	unreadyAge = 4 * time.Second
 	// ageJitter spreads the reads of nodes whose copies have the same age.
 	ageJitter = 150 * time.Millisecond
 	// firstRead is how long a new node waits for a registrar before it reads the log. If all hosts read a large registry at once,
@@ -219,23 +221,30 @@
 
 func (n *Node) mustRead(started, now time.Time) bool {
 	age := max(n.Replicas.Age(table.TopicConfiguration, now), n.Replicas.Age(table.TopicBackendServers, now))
-	limit := otherAge
-	if place := n.Roster.RegistrarPlace(); place >= 0 {
-		limit = registrarAge + time.Duration(place)*registrarStep
-	}
 	if age > time.Hour { // never complete
-		return now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.isSeed() || n.former.Load()
+		return now.Sub(started) > firstRead || len(*n.seeds.Load()) == 0 || n.seedPlace() >= 0 || n.former.Load()
 	}
-	return age > limit+n.jitter
+	return age > n.ageLimit()+n.jitter
 }
 
-func (n *Node) isSeed() bool {
-	for _, address := range *n.seeds.Load() {
-		if address == n.Options.Self.PeerAddress {
-			return true
+// ageLimit is the age of its copies at which the node reads the log.
+func (n *Node) ageLimit() time.Duration {
+	place := n.Roster.RegistrarPlace()
+	if place < 0 && n.Options.FirstStart && len(n.Roster.Entries()) == 0 {
+		// Before the first configuration no host is ready, and the seeds take the place of registrars.
+		if place = n.seedPlace(); place < 0 {
+			return unreadyAge
 		}
 	}
-	return false
+	if place < 0 {
+		return otherAge
+	}
+	return registrarAge + time.Duration(place)*registrarStep
+}
+
+// seedPlace is the place of the node in its list of seeds, or -1.
+func (n *Node) seedPlace() int {
+	return slices.Index(*n.seeds.Load(), n.Options.Self.PeerAddress)
 }
 
 // read brings the copies up to date from the log and says whether that succeeded.
@@ -364,7 +373,8 @@
 		if since >= settledLooks && !n.registered.Load() {
 			n.register(ctx)
 		}
-		alone := len(n.Roster.Registrars()) == 0
+		// The topic of a new fleet is empty.
+		alone := len(n.Roster.Registrars()) == 0 && !n.Options.FirstStart
 		if alone && turn%2 == 1 || registrar && turn%hostsEvery == hostsEvery-1 {
 			n.learnHosts(ctx)
 		}
--- a/internal/node/entrynode/restart_test.go
+++ b/internal/node/entrynode/restart_test.go
@@ -106,3 +106,28 @@
 		})
 	}
 }
+
+// TestFirstConfiguration guards against a new fleet in which every host reads the log until the first configuration is there.
+func TestFirstConfiguration(t *testing.T) {
+	for name, c := range map[string]struct {
+		seeds []string
+		first bool
+		want  time.Duration
+	}{
+		"the first seed reads often":        {[]string{"self:1", "b:1"}, true, registrarAge},
+		"the second one a step later":       {[]string{"b:1", "self:1"}, true, registrarAge + registrarStep},
+		"the other hosts wait for them":     {[]string{"b:1"}, true, unreadyAge},
+		"hosts that restart do not so long": {[]string{"b:1"}, false, otherAge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t)
+			n.Options.Self.PeerAddress = "self:1"
+			n.Options.FirstStart = c.first
+			n.SetSeeds(c.seeds)
+			is.New(t).Equal(n.ageLimit(), c.want)
+			n.hosts.SetReady(true)
+			n.hosts.Refresh(time.Now(), 0)
+			is.New(t).Equal(n.ageLimit(), registrarAge) // alone and ready, it is the registrar
+		})
+	}
+}
