--- a/pkg/decide/detect/avoid.go
+++ b/pkg/decide/detect/avoid.go
@@ -158,7 +158,7 @@
 }
 
 // TurnOf returns which of the nodes that share a server evenly may try it early. If all of them did, a failing server would
-// lose a request of each.
+// lose a request of each. Clocks that differ cost a trial too many or too few, and nothing else.
 func TurnOf(address string, nodes int, now time.Time) int {
 	var offset uint64
 	for n := range len(address) {
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -60,7 +60,7 @@
 		ranks = c.Ranks
 		size = cmp.Or(c.Services[service].GroupSize, size)
 	}
-	sharing := d.place()
+	sharing := d.currentSharing()
 	var late []*table.Ticket
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		servers := b.Services[service]
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -81,7 +81,7 @@
 // SetSharing sets the node's place among the nodes that share the backend servers evenly.
 func (d *Dispatcher) SetSharing(s Sharing) { d.sharing.Store(&s) }
 
-func (d *Dispatcher) place() Sharing {
+func (d *Dispatcher) currentSharing() Sharing {
 	if s := d.sharing.Load(); s != nil {
 		return *s
 	}
