Follow what backend servers ask for, and bound what they send

Cause: three things that a backend server sends were not handled. A response head without end was read whole: of 64 MB sent, the exchange allocated 386 to 986 MB, and the body of a refusal or a head sent byte by byte held the attempt until its deadline. A refusal without a request ID, or of the same request, was taken for the response to the request in progress, so callers were told that a request had not run which did. Server-Leaving and Retry-After were not known.

Change: the pool's connection waits for the whole head within limits of bytes, lines, time and interim responses before it is parsed. A refusal proves that a request did not run only with its request ID, or without one on a connection that has carried no other request; a request does not go to a connection on which it was refused. A run of a server that announces that it is leaving, or asks for a pause, gets nothing more from this node, also where its registration expires and returns; a gate checks it again before the write. The leaving is told to the other entry hosts. If all servers of a service asked for a pause that is longer than an eighth of the target latency, waiting requests are refused at once and told to return after it, spread.

--- a/internal/backend/http1/assert_test.go
+++ b/internal/backend/http1/assert_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -21,9 +22,21 @@
 
 var testHeaders = dialect.Headers{
 	RequestID: "Request-Id", Deadline: "Deadline", ExpectInstance: "Expect-Instance", NotExecuted: "Not-Executed",
-	Signature: "Signature",
+	Signature: "Signature", Leaving: "Leaving",
 }
 
+// openGate lets every request through.
+type openGate struct{}
+
+func (openGate) CheckSend(time.Time, fleet.BackendServer) error { return nil }
+
+// closedGate withholds every request.
+type closedGate struct{}
+
+func (closedGate) CheckSend(time.Time, fleet.BackendServer) error { return errWithheld }
+
+var errWithheld = errors.New("withheld")
+
 // testBackend is a TCP server that runs a function for each connection.
 type testBackend struct {
 	Server fleet.BackendServer
@@ -81,7 +94,7 @@
 	in := httptest.NewRequest(http.MethodGet, "/a/b?c=d", nil)
 	w := httptest.NewRecorder()
 	return &Exchange{
-		Pool: p, Headers: testHeaders, Request: in, Writer: w, RequestID: id, Idempotent: idempotent,
+		Pool: p, Gate: openGate{}, Headers: testHeaders, Request: in, Writer: w, RequestID: id, Idempotent: idempotent,
 		ResponseDeadline: time.Now().Add(10 * time.Second),
 	}, w
 }
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -7,9 +7,9 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,6 +30,8 @@
 	// idleCloseMargin is how long before the server's keep-alive timeout an idle connection is closed. Otherwise a request
 	// could be sent while the server closes the connection.
 	idleCloseMargin = 1500 * time.Millisecond
+	// maxRefusedIDs bounds the refused requests that are remembered for a connection, which is closed after that.
+	maxRefusedIDs = 64
 	// maxIdleConnsPerServer bounds the file descriptors that idle connections use.
 	maxIdleConnsPerServer = 8
 	// unackedDataTimeout is how long sent bytes may stay unacknowledged before the kernel closes the connection, as during
@@ -47,6 +49,11 @@
 
 	tcp    *net.TCPConn
 	reader *bufio.Reader
+	// hasReadDeadline reports whether a read deadline is set on the connection.
+	hasReadDeadline bool
+	// refusedIDs lists the requests that the server refused on this connection. A faulty server may send such a refusal
+	// again, so the connection does not carry these requests a second time.
+	refusedIDs []string
 	// idleSince is when the connection became idle, and idleTimeout how long it may stay in the pool.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -69,11 +76,12 @@
 	}
 }
 
-// Take removes a connection to the address that has been idle for at most maxAge from the pool, or returns nil. It closes
-// connections on which anything arrived while they were idle: the end of the stream, or bytes that belong to no request.
-func (p *Pool) Take(address string, maxAge time.Duration) *Conn {
+// Take removes a connection to the address that has been idle for at most maxAge from the pool, or returns nil. It skips
+// connections on which the server refused the request before, and closes connections on which anything arrived while they
+// were idle: the end of the stream, or bytes that belong to no request.
+func (p *Pool) Take(address, requestID string, maxAge time.Duration) *Conn {
 	for {
-		c := p.popIdle(address, maxAge)
+		c := p.popIdle(address, requestID, maxAge)
 		if c == nil {
 			return nil
 		}
@@ -85,20 +93,22 @@
 	}
 }
 
-func (p *Pool) popIdle(address string, maxAge time.Duration) *Conn {
+func (p *Pool) popIdle(address, requestID string, maxAge time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
 	// The server is least likely to have closed the connection that became idle last.
-	c := list[len(list)-1]
-	if time.Since(c.idleSince) > min(maxAge, c.idleTimeout) {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if time.Since(c.idleSince) > min(maxAge, c.idleTimeout) {
+			return nil
+		}
+		if !slices.Contains(c.refusedIDs, requestID) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Dial opens a connection. Its errors are of type DialError.
@@ -136,7 +146,7 @@
 func (p *Pool) Put(c *Conn, h http.Header) {
 	c.idleTimeout = idleTimeoutFromHeader(h)
 	c.idleSince = time.Now()
-	if c.idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	if c.idleTimeout <= 0 || c.reader.Buffered() > 0 || len(c.refusedIDs) >= maxRefusedIDs {
 		c.Close()
 		return
 	}
@@ -209,14 +219,3 @@
 	})
 	return err == nil && errors.Is(peekErr, syscall.EAGAIN)
 }
-
-// discardBody reads and drops a response body, after which the connection can carry the next response. It fails if the
-// body has 256 KiB or more.
-func discardBody(r *http.Response) error {
-	const maxDiscardBytes = 256 << 10
-	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardBytes))
-	if err == nil && n == maxDiscardBytes {
-		return UnexpectedStatusError{Status: r.StatusCode}
-	}
-	return eris.Wrap(err, "discard body")
-}
--- a/internal/backend/http1/errors.go
+++ b/internal/backend/http1/errors.go
@@ -74,8 +74,7 @@
 	return fmt.Sprintf("backend server %s failed with status %d", e.Address, e.Status)
 }
 
-// UnexpectedStatusError reports a status that is not valid as the final response to a request, or a response body that is
-// too long to discard.
+// UnexpectedStatusError reports a status that is not valid as the final response to a request.
 type UnexpectedStatusError struct {
 	Address string
 	Status  int
@@ -84,3 +83,33 @@
 func (e UnexpectedStatusError) Error() string {
 	return fmt.Sprintf("backend server %s: unexpected status %d", e.Address, e.Status)
 }
+
+// NotHTTPError reports bytes that are not an HTTP response.
+type NotHTTPError struct {
+	Address string
+}
+
+func (e NotHTTPError) Error() string {
+	return fmt.Sprintf("backend server %s: received bytes are not an HTTP response", e.Address)
+}
+
+// HeadLimitError reports a response head that exceeds a limit.
+type HeadLimitError struct {
+	Address string
+	// Limit names the exceeded limit.
+	Limit string
+}
+
+func (e HeadLimitError) Error() string {
+	return fmt.Sprintf("backend server %s: response head exceeds the limit of its %s", e.Address, e.Limit)
+}
+
+// BodyLimitError reports a response body that is too long to be discarded.
+type BodyLimitError struct {
+	Address string
+	Bytes   int
+}
+
+func (e BodyLimitError) Error() string {
+	return fmt.Sprintf("backend server %s: response body is longer than the %d bytes that are discarded", e.Address, e.Bytes)
+}
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"egretline.example/egretline/internal/http/dialect"
@@ -30,9 +31,16 @@
 	maxResponsesRead = 3
 )
 
+// Gate tells whether a backend server may still get a request that was assigned to it.
+type Gate interface {
+	// CheckSend returns an error if the server has asked for no more requests since.
+	CheckSend(now time.Time, s fleet.BackendServer) error
+}
+
 // Exchange forwards one request of a caller to a backend server and sends the response back. It implements table.Runner.
 type Exchange struct {
 	Pool    *Pool
+	Gate    Gate
 	Headers dialect.Headers
 	// Request is the caller's request. BufferedBody is its body, or the start of it if the body is too long to buffer;
 	// RemainingBody is then the rest, which can be read only once.
@@ -53,6 +61,8 @@
 	fullyBuffered bool
 	// uploadDone receives the result of sending a request body in a goroutine; nil if the body was sent synchronously.
 	uploadDone chan error
+	// notice is what the server asked for in the responses read by the last Send.
+	notice serverNotice
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
 	// the reset has already started or was canceled before.
 	stopAbort func() bool
@@ -65,7 +75,7 @@
 		return nil
 	}
 	return &Exchange{
-		Pool: e.Pool, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Writer: e.Writer,
+		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Writer: e.Writer,
 		RequestID: e.RequestID, Idempotent: e.Idempotent, ResponseDeadline: e.ResponseDeadline,
 	}
 }
@@ -74,6 +84,7 @@
 // if an idempotent request was sent on an idle connection that the server had closed.
 func (e *Exchange) Send(ctx context.Context, s fleet.BackendServer) table.Result {
 	started := time.Now()
+	e.notice = serverNotice{}
 	result := e.sendOnce(ctx, s, started)
 	if result.Err != nil && e.Idempotent && e.conn != nil && e.conn.Reused && e.response == nil && ctx.Err() == nil &&
 		e.RemainingBody == nil && closedBeforeResponse(result.Err) {
@@ -83,13 +94,15 @@
 	}
 	result.Latency = time.Since(started)
 	result.BodyLost = e.RemainingBody != nil && result.Sent
+	result.Leaving, result.PauseFor, result.PauseErr = e.notice.Leaving, e.notice.PauseFor, e.notice.PauseErr
 	return result
 }
 
-// closedBeforeResponse reports whether the exchange failed while it waited for the response headers.
+// closedBeforeResponse reports whether the server closed or reset the connection before the first byte of a response.
 func closedBeforeResponse(err error) bool {
 	var exchangeErr ExchangeError
-	return errors.As(err, &exchangeErr) && exchangeErr.Stage == stageResponseHeaders
+	return errors.As(err, &exchangeErr) && exchangeErr.Stage == stageResponseHeaders &&
+		(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
 // Values of ExchangeError.Stage.
@@ -105,6 +118,10 @@
 	if err != nil {
 		return table.Result{Evidence: connectEvidence(ctx), Err: err}
 	}
+	if err := e.Gate.CheckSend(time.Now(), s); err != nil {
+		c.Close()
+		return table.Result{Evidence: fleet.Withheld, Err: err}
+	}
 	e.conn = c
 	e.stopAbort = context.AfterFunc(ctx, c.Abort)
 	sent, err := e.writeRequest(s)
@@ -133,7 +150,7 @@
 	if !e.Idempotent {
 		maxAge = maxIdleForNonIdempotent
 	}
-	if c := e.Pool.Take(address, maxAge); c != nil {
+	if c := e.Pool.Take(address, e.RequestID, maxAge); c != nil {
 		return c, nil
 	}
 	return e.Pool.Dial(ctx, address)
@@ -210,49 +227,42 @@
 // readResponseHeaders reads the headers of the response to this request and skips late responses to earlier requests.
 func (e *Exchange) readResponseHeaders(s fleet.BackendServer) error {
 	for range maxResponsesRead {
-		response, err := e.readFinalResponse() //nolint:bodyclose // the exchange closes the connection
+		response, err := e.conn.readFinalResponse(e.Request) //nolint:bodyclose // the exchange closes the connection
 		if err != nil {
 			return err
 		}
+		e.notice.add(response, e.Headers)
 		gotID := response.Header.Get(e.Headers.RequestID)
-		if gotID == e.RequestID || gotID == "" && response.StatusCode >= http.StatusBadRequest {
+		if gotID == e.RequestID || gotID == "" && e.isOnlyRequest() && response.StatusCode >= http.StatusBadRequest {
 			e.response = response
 			return nil
 		}
-		if !e.conn.Reused || gotID == "" || response.Close {
+		if gotID == "" || e.isOnlyRequest() || response.Close {
 			return ResponseMismatchError{Address: s.Address, Want: e.RequestID, Got: gotID}
 		}
-		if err := discardBody(response); err != nil {
+		if err := e.conn.discardBody(response); err != nil {
 			return err
 		}
 	}
 	return ResponseMismatchError{Address: s.Address, Want: e.RequestID}
 }
 
-// readFinalResponse reads the headers of the next final response and skips interim (1xx) responses.
-func (e *Exchange) readFinalResponse() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.conn.reader, e.Request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, UnexpectedStatusError{Address: e.conn.Address, Status: response.StatusCode}
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
+// isOnlyRequest reports whether the connection has carried no other request. A response without a request ID can then
+// belong to no other one.
+func (e *Exchange) isOnlyRequest() bool { return !e.conn.Reused }
 
 // classify returns the result that the status and the headers of the response imply.
 func (e *Exchange) classify(s fleet.BackendServer) table.Result {
 	r := table.Result{Status: e.response.StatusCode, Sent: true}
+	refused := e.response.Header.Get(e.Headers.NotExecuted) != ""
 	switch {
 	case r.Status == http.StatusMisdirectedRequest:
 		r.Evidence = fleet.Draining
 		r.Err = NotExecutedError{Address: s.Address, Status: r.Status}
-	case e.response.Header.Get(e.Headers.NotExecuted) != "":
+	case refused && r.Status < http.StatusBadRequest:
+		r.Evidence = fleet.Failed
+		r.Err = UnexpectedStatusError{Address: s.Address, Status: r.Status}
+	case refused:
 		r.Evidence = fleet.Shed
 		r.Err = NotExecutedError{Address: s.Address, Status: r.Status}
 	case !e.Idempotent && impliesNotRun(r.Status):
@@ -270,6 +280,9 @@
 		r.Evidence = fleet.Succeeded
 		r.Response = true
 	}
+	if r.Evidence == fleet.Draining || r.Evidence == fleet.Shed {
+		e.conn.refusedIDs = append(e.conn.refusedIDs, e.RequestID)
+	}
 	return r
 }
 
@@ -387,7 +400,7 @@
 	if e.conn == nil {
 		return
 	}
-	if e.response != nil && e.RemainingBody == nil && discardBody(e.response) == nil {
+	if e.response != nil && e.RemainingBody == nil && e.conn.discardBody(e.response) == nil {
 		e.releaseConn()
 		return
 	}
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -67,6 +67,7 @@
 	Config     ConfigSource
 	Dispatcher Dispatcher
 	Pool       *http1.Pool
+	Gate       http1.Gate
 	Headers    dialect.Headers
 	Traffic    TrafficRecorder
 	// MaxBodyBytes bounds the size of a request body, in bytes.
@@ -210,7 +211,7 @@
 		BackupDelay: backupDelay(req), Arrived: req.Arrived, Deadline: req.ResponseDeadline,
 		TargetLatency: req.Route.TargetLatency, Context: ctx,
 		Runner: &http1.Exchange{
-			Pool: h.Pool, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
+			Pool: h.Pool, Gate: h.Gate, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
 			RemainingBody: req.RemainingBody, Writer: w, RequestID: req.ID, Idempotent: req.Route.Idempotent,
 			ResponseDeadline: req.ResponseDeadline,
 		},
--- a/internal/http/dialect/dialect.go
+++ b/internal/http/dialect/dialect.go
@@ -12,6 +12,11 @@
 	ExpectInstance string
 	// NotExecuted marks a response of a backend server that did not run the request.
 	NotExecuted string
+	// Leaving is set to LeavingValue in all responses of a backend server that is leaving.
+	Leaving string
 	// Signature marks a response of a backend server that ran the request.
 	Signature string
 }
+
+// LeavingValue is the value of the header Leaving.
+const LeavingValue = "1"
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -29,6 +29,7 @@
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/healthcmd"
+	"egretline.example/egretline/pkg/healthquery"
 	"egretline.example/egretline/pkg/pool"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/pkg/trafficcmd"
@@ -169,7 +170,8 @@
 	n.syncPool = pool.New("sync", syncWorkers, syncWorkers, n.sync)
 	n.evidencePool = pool.New("tell", gossipWorkers, gossipQueueLength, n.sendEvidence)
 	front := &hostfront.Handler{
-		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns, Headers: o.Headers,
+		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns,
+		Gate: &healthquery.Queries{Tables: t}, Headers: o.Headers,
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
 		RegistryAge: func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
 		Leaving:     n.leaving.Load, Log: logger,
--- a/internal/node/entrynode/gossip.go
+++ b/internal/node/entrynode/gossip.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/healthcmd"
@@ -27,12 +28,23 @@
 	gossipQueueLength = 64
 )
 
-// serverEvidence is a failure or recovery of a backend server, to be sent to other nodes.
+// evidenceKind is what serverEvidence reports.
+type evidenceKind int
+
+const (
+	evidenceFailure evidenceKind = iota
+	evidenceRecovery
+	evidenceLeaving
+)
+
+// serverEvidence is a failure, a recovery or the leaving of a backend server, to be sent to other nodes.
 type serverEvidence struct {
-	Server    table.ServerKey
-	Instance  string
-	Recovered bool
-	At        time.Time
+	Kind     evidenceKind
+	Server   table.ServerKey
+	Instance string
+	// StartedAtMs is the start time of the server's run; set only for evidenceLeaving.
+	StartedAtMs int64
+	At          time.Time
 }
 
 // evidenceMessage is a batch of evidence for one host.
@@ -43,7 +55,7 @@
 
 // healthGossiper records evidence, logs failed attempts, and queues evidence that is valid for other nodes as well.
 // Reachability of a server differs between nodes, and the failure of a single request does not predict the next one.
-// Only fast failures, and recoveries from them, are therefore sent.
+// Only fast failures, recoveries from them, and a server's own announcement that it is leaving are therefore sent.
 type healthGossiper struct {
 	*healthcmd.Commands
 	pending chan serverEvidence
@@ -66,7 +78,17 @@
 func (g *healthGossiper) Recovered(now time.Time, key table.ServerKey, instance string) {
 	g.logger.Info().Str("service", key.Service).Str("backend-server", key.Address).Str("instance", instance).
 		Msg("circuit breaker of backend server closed after successful trial requests of this node")
-	g.enqueue(serverEvidence{Server: key, Instance: instance, Recovered: true, At: now})
+	g.enqueue(serverEvidence{Kind: evidenceRecovery, Server: key, Instance: instance, At: now})
+}
+
+// Leaving implements healthcmd.EvidenceSink.
+func (g *healthGossiper) Leaving(now time.Time, service string, run notice.Run) {
+	g.logger.Info().Str("service", service).Str("backend-server", run.Address).Str("instance", run.Instance).
+		Msg("backend server announced that it is leaving; sending it no more requests")
+	g.enqueue(serverEvidence{
+		Kind: evidenceLeaving, Server: table.ServerKey{Service: service, Address: run.Address}, Instance: run.Instance,
+		StartedAtMs: run.StartedAtMs, At: now,
+	})
 }
 
 // enqueue queues the evidence, or drops it if the queue is full.
@@ -80,6 +102,10 @@
 // Observe implements dispatchcmd.HealthObserver.
 func (g *healthGossiper) Observe(now time.Time, a table.Assignment, r table.Result) {
 	g.Commands.Observe(now, a, r)
+	if r.PauseErr != nil {
+		g.logger.Warn().Err(r.PauseErr).Str("request-id", a.Ticket.ID).Str("backend-server", a.Server.Address).
+			Msg("backend server sent an unusable Retry-After")
+	}
 	if r.Evidence == fleet.Succeeded || r.Evidence == fleet.Canceled {
 		return
 	}
@@ -87,7 +113,7 @@
 		Str("backend-server", a.Server.Address).Str("instance", a.Server.Instance).Str("evidence", string(r.Evidence)).
 		Int("status", r.Status).Bool("sent", r.Sent).Int("attempt", a.Ticket.Attempt+1).
 		Stringer("standing", a.BreakerState).Int("outstanding", a.Outstanding).Dur("quiet-ms", a.SinceLastFailure).
-		Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
+		Bool("leaving", r.Leaving).Dur("pause-ms", r.PauseFor).Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
 }
 
 // gossipLoop sends evidence about backend servers to the other entry hosts.
@@ -132,11 +158,14 @@
 	for _, e := range m.Evidence {
 		entry := peerapi.ServerEvidence{
 			Service: e.Server.Service, Address: e.Server.Address, Instance: e.Instance,
-			AgeMs: now.Sub(e.At).Milliseconds(),
+			StartedAtMs: e.StartedAtMs, AgeMs: now.Sub(e.At).Milliseconds(),
 		}
-		if e.Recovered {
+		switch e.Kind {
+		case evidenceRecovery:
 			out.Recovered = append(out.Recovered, entry)
-		} else {
+		case evidenceLeaving:
+			out.Leaving = append(out.Leaving, entry)
+		default:
 			out.Failures = append(out.Failures, entry)
 		}
 	}
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/internal/decide/replica"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/pkg/fleet"
@@ -66,19 +67,28 @@
 	Offset int64  `json:"offset"`
 }
 
-// Evidence reports failures and recoveries of backend servers to other nodes.
+// Evidence reports failures and recoveries of backend servers, and servers that announced that they are leaving, to other
+// nodes.
 type Evidence struct {
 	From      Host             `json:"from"`
 	Failures  []ServerEvidence `json:"failures,omitempty"`
 	Recovered []ServerEvidence `json:"recovered,omitempty"`
+	Leaving   []ServerEvidence `json:"leaving,omitempty"`
 }
 
-// ServerEvidence is a failure or recovery of a backend server.
+// ServerEvidence is a failure, a recovery or the leaving of a backend server.
 type ServerEvidence struct {
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	Instance string `json:"instance,omitempty"`
-	AgeMs    int64  `json:"age-ms"`
+	// StartedAtMs is the start time of the server's run; sent only for a server that is leaving.
+	StartedAtMs int64 `json:"started-at-ms,omitempty"`
+	AgeMs       int64 `json:"age-ms"`
+}
+
+// Run returns the run of the backend server that the evidence is about.
+func (s ServerEvidence) Run() notice.Run {
+	return notice.Run{Address: s.Address, Instance: s.Instance, StartedAtMs: s.StartedAtMs}
 }
 
 // Key returns the table key of the backend server.
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/internal/replica/replicaquery"
 	"egretline.example/egretline/internal/roster/rostercmd"
@@ -30,6 +31,7 @@
 type EvidenceObserver interface {
 	ObservePeerFailure(now time.Time, key table.ServerKey, instance string, age time.Duration)
 	ObservePeerRecovery(now time.Time, key table.ServerKey, instance string, age time.Duration)
+	ObservePeerLeaving(now time.Time, service string, run notice.Run)
 }
 
 // Server responds to other nodes from the tables of this node.
@@ -106,6 +108,7 @@
 	now := time.Now()
 	s.RosterCommands.RecordContact(now, m.From.Announcement())
 	s.Logger.Info().Str("peer", m.From.ID).Strs("failed", addresses(m.Failures)).Strs("recovered", addresses(m.Recovered)).
+		Strs("leaving", addresses(m.Leaving)).
 		Msg("received health evidence about backend servers from peer")
 	for _, e := range m.Failures {
 		s.Health.ObservePeerFailure(now, e.Key(), e.Instance, e.Age())
@@ -113,6 +116,9 @@
 	for _, e := range m.Recovered {
 		s.Health.ObservePeerRecovery(now, e.Key(), e.Instance, e.Age())
 	}
+	for _, e := range m.Leaving {
+		s.Health.ObservePeerLeaving(now, e.Service, e.Run())
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/pkg/decide/admission/next.go
+++ b/pkg/decide/admission/next.go
@@ -36,12 +36,17 @@
 
 // RemoveLate removes and returns the waiting items that can no longer meet their deadline.
 func RemoveLate[T any](q *Queue[T], now time.Time) []Item[T] {
+	return RemoveAll(q, func(i Item[T]) bool { return isLate(q, i, now) })
+}
+
+// RemoveAll removes and returns the waiting items for which remove returns true.
+func RemoveAll[T any](q *Queue[T], remove func(Item[T]) bool) []Item[T] {
 	var removed []Item[T]
 	for n := range q.Ranks {
 		r := &q.Ranks[n]
 		for _, tenant := range slices.Clone(r.TenantOrder) {
 			for k := len(r.Tenants[tenant]) - 1; k >= 0; k-- {
-				if isLate(q, r.Tenants[tenant][k], now) {
+				if remove(r.Tenants[tenant][k]) {
 					removed = append(removed, r.removeAt(tenant, k))
 				}
 			}
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -21,6 +21,8 @@
 	DeadlineTooClose Reason = "deadline-too-close"
 	// QueueFull means that the maximum number of requests of the rank is already waiting.
 	QueueFull Reason = "queue-full"
+	// ServersPaused means that all servers of the service asked for no requests for some time.
+	ServersPaused Reason = "servers-paused"
 	// TenantRate means that the tenant exceeded its limit of requests per second.
 	TenantRate Reason = "tenant-rate"
 	// TenantInFlight means that the tenant reached its limit of requests in flight at the node.
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/group"
@@ -61,7 +62,8 @@
 		groupSize = cmp.Or(c.Services[service].GroupSize, groupSize)
 	}
 	sharing := d.currentSharing()
-	var late []*table.Ticket
+	var late, refused []*table.Ticket
+	var pauses notice.Pool
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		servers := b.Services[service]
 		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
@@ -74,11 +76,17 @@
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
 			p.Sharing = sharing
+			pauses = pausesOf(b, service, now)
+			refused = removePaused(queue, pauses, now)
 			for d.assignNext(now, p, q, queue, &late) {
 				q.InFlight++
 			}
 		})
 	})
+	for _, t := range refused {
+		err, _ := refusalByPause(pauses, t, now)
+		d.settle(t, unservedResult(now, t, err))
+	}
 	for _, t := range late {
 		d.settle(t, unservedResult(now, t, admission.RefusedError{
 			Reason: admission.DeadlineTooClose, Rank: t.Rank, Tenant: t.Tenant, RetryAfter: d.retryAfter(t),
--- a/pkg/fleet/outcome.go
+++ b/pkg/fleet/outcome.go
@@ -28,6 +28,9 @@
 	Shed Evidence = "shed"
 	// Draining is an explicit refusal because the server is leaving the pool.
 	Draining Evidence = "draining"
+	// Withheld is an attempt that was not sent, because the server asked for no more requests after it had been chosen. It
+	// is no evidence about health.
+	Withheld Evidence = "withheld"
 	// Canceled is an attempt that was canceled before it completed. It is no evidence about health.
 	Canceled Evidence = "canceled"
 )
--- a/pkg/healthcmd/leaving.go
+++ b/pkg/healthcmd/leaving.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/healthquery"
@@ -33,6 +34,40 @@
 	}
 }
 
+// recordNotice records what the server that handled the attempt asked for, and reports whether this node learned only now
+// that it is leaving. The server in the table may be a later run at the same address, to which the notice does not apply.
+func recordNotice(b *table.Backends, a table.Assignment, r table.Result, now time.Time) bool {
+	run := notice.RunOf(a.Server)
+	asked := r.Leaving || r.PauseFor > 0
+	if !asked || run.Instance == "" {
+		return false
+	}
+	news := r.Leaving && !b.Notices.Get(run).Leaving
+	b.Notices.Record(run, r.Leaving, r.PauseFor, now)
+	applyNotice(b, b.Services[a.Ticket.Service][a.Server.Address], table.LeavingAnnounced, now)
+	return news
+}
+
+// applyNotice applies what the run of the server asked for earlier. The server may be nil.
+func applyNotice(b *table.Backends, s *table.Backend, reason table.LeavingReason, now time.Time) {
+	if s == nil {
+		return
+	}
+	n := b.Notices.Get(notice.RunOf(s.Server))
+	s.PausedUntil = n.PausedUntil
+	if n.Leaving && !s.Leaving {
+		markLeaving(s, reason, now)
+	}
+}
+
+// ObservePeerLeaving records that another node learned from a run of a backend server that it is leaving.
+func (c *Commands) ObservePeerLeaving(now time.Time, service string, run notice.Run) {
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		b.Notices.Record(run, true, 0, now)
+		applyNotice(b, b.Services[service][run.Address], table.LeavingReported, now)
+	})
+}
+
 // markLeaving marks the server as leaving. The first reason is kept, except that a sign seen by this node replaces the
 // report of a peer.
 func markLeaving(s *table.Backend, reason table.LeavingReason, now time.Time) {
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -36,16 +37,19 @@
 	FastFailure(now time.Time, key table.ServerKey, instance string)
 	// Recovered reports a server whose circuit breaker was closed by successful trial requests.
 	Recovered(now time.Time, key table.ServerKey, instance string)
+	// Leaving reports a run of a server of the service that announced that it is leaving.
+	Leaving(now time.Time, service string, run notice.Run)
 }
 
 // Observe records the result of an attempt. It must be called before the attempt is removed from Backend.InFlight,
 // which holds its age.
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	var failedFast, recovered bool
+	var failedFast, recovered, leaving bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		leaving = recordNotice(b, a, r, now)
 		s, health := findAndTouch(b, key, now)
-		if s == nil {
+		if s == nil || isNewRun(s.Server, a.Server) {
 			return
 		}
 		baseline := detect.BaselineFor(health.Summary, &s.State, now)
@@ -67,6 +71,7 @@
 	if recovered && c.Sink != nil {
 		c.Sink.Recovered(now, key, a.Server.Instance)
 	}
+	c.reportLeaving(now, a, leaving)
 	c.record(trace.Event{
 		At: now, Kind: trace.Ended, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 		Evidence: r.Evidence, Latency: r.Latency, Leaving: r.Leaving,
@@ -94,22 +99,34 @@
 // after the body has been streamed.
 func (c *Commands) Responded(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
+	var leaving bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		leaving = recordNotice(b, a, r, now)
 		s, _ := findAndTouch(b, key, now)
 		if s == nil {
 			return
 		}
-		recordLeavingSign(s, r.Evidence, r.Leaving, now)
+		if !isNewRun(s.Server, a.Server) {
+			recordLeavingSign(s, r.Evidence, r.Leaving, now)
+		}
 		if f, ok := s.InFlight[a.Ticket.ID]; ok {
 			f.Responded = true
 			s.InFlight[a.Ticket.ID] = f
 		}
 	})
+	c.reportLeaving(now, a, leaving)
 	c.record(trace.Event{
 		At: now, Kind: trace.Responded, Service: key.Service, Address: key.Address, Request: a.Ticket.ID, Leaving: r.Leaving,
 	})
 }
 
+// reportLeaving shares with other nodes that the server of the attempt is leaving, if this node has just learned it.
+func (c *Commands) reportLeaving(now time.Time, a table.Assignment, leaving bool) {
+	if leaving && c.Sink != nil {
+		c.Sink.Leaving(now, a.Ticket.Service, notice.RunOf(a.Server))
+	}
+}
+
 // Probe is the result of one health check of a backend server.
 type Probe struct {
 	Server   table.ServerKey
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -51,6 +51,7 @@
 			servers[server.Address] = s
 		}
 		s.Server = server
+		applyNotice(b, s, table.LeavingAnnounced, now)
 	}
 	markRemoved(b, name, current, now)
 }
--- a/pkg/healthquery/use.go
+++ b/pkg/healthquery/use.go
@@ -25,7 +25,7 @@
 // retry is never a trial, because it may be the last attempt of its request.
 func UseOf(s *table.Backend, idempotent bool, attempt int, now time.Time) Use {
 	switch {
-	case s.Leaving:
+	case s.Leaving || now.Before(s.PausedUntil):
 		return NoUse
 	case !detect.OutOfUse(&s.State):
 		return NormalUse
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
@@ -13,6 +14,8 @@
 	Services map[string]map[string]*Backend
 	// Health holds the outlier detection state of each service, beyond the state of its servers.
 	Health map[string]*ServiceHealth
+	// Notices holds what runs of backend servers asked of this node. It outlives their registration.
+	Notices notice.Table
 	// Peers holds the last report of each group member, by host ID.
 	Peers map[string]PeerReport
 	// Isolated reports whether the node itself is at fault. An isolated node ejects no servers and reports no evidence.
@@ -54,6 +57,8 @@
 	// LeavingSince is the time of the last indication that the server is leaving, and LeavingReason its kind.
 	LeavingSince  time.Time
 	LeavingReason LeavingReason
+	// PausedUntil is the time until which the server wants no requests of this node; zero if it never asked for a pause.
+	PausedUntil time.Time
 }
 
 // LeavingReason is the kind of indication that a backend server is leaving.
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -148,6 +148,10 @@
 	Latency time.Duration
 	// Leaving reports whether the backend server announced that it is leaving.
 	Leaving bool
+	// PauseFor is the time for which the backend server asked to get no more requests from this node; zero if it did not.
+	PauseFor time.Duration
+	// PauseErr is set if PauseFor differs from what the server sent.
+	PauseErr error
 	// Status is the HTTP status of the response, or 0.
 	Status int
 	// RetryAfter is the delay that the caller should wait before a retry; zero if none is known.
--- a/service/backend/exchange.go
+++ b/service/backend/exchange.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,11 @@
 	body     *replayBody
 	response *http.Response
 	address  string
+	// conn is the connection of the current attempt, reused reports whether it has carried other requests, and refusedOn
+	// lists the connections on which the server refused this request before.
+	conn      net.Conn
+	reused    bool
+	refusedOn []net.Conn
 }
 
 // NewExchange returns an exchange for the caller's request r that writes the response to w.
@@ -41,7 +48,10 @@
 	e.address = s.Address
 	e.response = nil
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		e.conn, e.reused = i.Conn, i.Reused
+		sent.Store(true)
+	}}
 	started := time.Now()
 	response, err := e.Transport.RoundTrip(e.outgoingRequest(httptrace.WithClientTrace(ctx, trace), s)) //nolint:bodyclose // closed by Deliver or Discard
 	result := table.Result{Sent: sent.Load(), Latency: time.Since(started)}
@@ -81,6 +91,10 @@
 	case got != "" && got != e.RequestID:
 		result.Evidence = fleet.Failed
 		result.Err = MismatchError{Address: e.address, Want: e.RequestID, Got: got}
+	case refused != "" && (got == "" && e.reused || slices.Contains(e.refusedOn, e.conn)):
+		// It may be a refusal of an earlier request on the connection that the server sends once more.
+		result.Evidence = fleet.Failed
+		result.Err = MismatchError{Address: e.address, Want: e.RequestID, Got: got}
 	case refused == api.RefusedDraining:
 		result.Evidence = fleet.Draining
 		result.Err = RefusedError{Address: e.address, Reason: refused}
@@ -94,6 +108,9 @@
 		result.Evidence = fleet.Succeeded
 		result.Response = true
 	}
+	if result.Evidence == fleet.Draining || result.Evidence == fleet.Shed {
+		e.refusedOn = append(e.refusedOn, e.conn)
+	}
 }
 
 func (e *Exchange) outgoingRequest(ctx context.Context, s fleet.BackendServer) *http.Request {
--- a/service/backend/exchange_test.go
+++ b/service/backend/exchange_test.go
@@ -77,6 +77,23 @@
 			assertFailed(t, got, evidence, true, &RefusedError{})
 		})
 	}
+	// Guards against callers that are told to repeat a request which a server runs.
+	t.Run("refusal of an earlier request on the connection, sent once more", func(t *testing.T) {
+		for _, repeatedID := range []string{"", "request"} {
+			address := startRepeatingServer(t, repeatedID)
+			transport := NewTransport()
+			t.Cleanup(transport.CloseIdleConnections)
+			e := NewExchange(transport, newRequest(http.MethodPost, "x"), httptest.NewRecorder())
+			e.RequestID = "request"
+			is := is.New(t)
+			is.Equal(e.Send(context.Background(), fleet.BackendServer{Address: address}).Evidence, fleet.Shed)
+			e.Discard()
+			r := e.Send(context.Background(), fleet.BackendServer{Address: address})
+			is.True(r.Evidence == fleet.Failed || r.Evidence == fleet.Canceled)
+			is.True(!errors.As(r.Err, &RefusedError{}))
+			is.True(r.Sent)
+		}
+	})
 	t.Run("no connection", func(t *testing.T) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.New(t).NoErr(err)
@@ -137,6 +154,40 @@
 	is.New(t).Equal(runs.Load(), int64(2)) // each request was received once
 }
 
+// startRepeatingServer starts a server that refuses the first request, and repeats the refusal with the given request ID
+// while it runs the next one.
+func startRepeatingServer(t *testing.T, repeatedID string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	refusal := func(id string) string {
+		header := ""
+		if id != "" {
+			header = api.HeaderRequestID + ": " + id + "\r\n"
+		}
+		return "HTTP/1.1 503 Service Unavailable\r\n" + header + api.HeaderRefused + ": " + api.RefusedShed + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(conn)
+			for _, response := range []string{refusal("request"), refusal(repeatedID)} {
+				q, err := http.ReadRequest(r)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, q.Body)
+				_, _ = io.WriteString(conn, response)
+			}
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // startBreakingServer starts a server that answers only the first request. It reads each later request and closes the
 // connection.
 func startBreakingServer(t *testing.T, runs *atomic.Int64) string {
