Leave out odd records and messages without harm to the others

A record that stayed malformed counted as a change, with log lines and a new configuration, each time it was written again. An age in a message of a peer could overflow, so that a replica looked newer than the log and the node stopped reading it.

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"egretline.example/egretline/internal/decide/roster"
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/internal/roster/rostercmd"
@@ -176,10 +178,18 @@
 		n.rosterCommands.RecordFailure(now, h.ID)
 		return
 	}
+	if err := response.From.Check(); err != nil {
+		n.Logger.Warn().Err(err).Str("address", h.PeerAddress).Msg("ignoring state synchronization response from invalid host")
+		return
+	}
 	n.rosterCommands.RecordContact(now, response.From.Announcement())
 	n.hostListDigests.set(response.From.ID, response.HostListDigest)
 	var reported []rostercmd.Announcement
 	for _, m := range response.Hosts {
+		if err := m.Check(); err != nil {
+			n.Logger.Warn().Err(err).Str("peer", response.From.ID).Msg("ignoring invalid host in peer's list")
+			continue
+		}
 		reported = append(reported, m.Announcement())
 	}
 	if response.HostListDigest != request.HostListDigest {
@@ -421,7 +431,7 @@
 	var list []rostercmd.Announcement
 	for _, r := range n.Replicas.Records(table.TopicHosts) {
 		var m peerapi.Host
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		if err := decodeHost(r.Value, &m); err != nil {
 			n.Logger.Warn().Err(err).Str("key", r.Key).Msg("ignoring malformed record in the topic of hosts")
 			continue
 		}
@@ -432,6 +442,13 @@
 	return hosts
 }
 
+func decodeHost(value []byte, m *peerapi.Host) error {
+	if err := json.Unmarshal(value, m); err != nil {
+		return eris.Wrap(err, "decode host")
+	}
+	return m.Check()
+}
+
 // announceLeaving notifies the registrars that the node is leaving.
 func (n *Node) announceLeaving() {
 	now := time.Now()
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -86,6 +86,14 @@
 	AgeMs       int64 `json:"age-ms"`
 }
 
+// maxAge bounds the ages in messages. A longer age has the same meaning.
+const maxAge = time.Hour
+
+// boundedAge converts an age in a message, which may come from a faulty sender, to a duration from zero to maxAge.
+func boundedAge(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // Run returns the run of the backend server that the evidence is about.
 func (s ServerEvidence) Run() notice.Run {
 	return notice.Run{Address: s.Address, Instance: s.Instance, StartedAtMs: s.StartedAtMs}
@@ -97,7 +105,7 @@
 }
 
 // Age returns the time between the observation and the message.
-func (s ServerEvidence) Age() time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+func (s ServerEvidence) Age() time.Duration { return boundedAge(s.AgeMs) }
 
 // HostMessage converts a host to its wire format.
 func HostMessage(h fleet.Host, ready bool) Host {
@@ -130,7 +138,7 @@
 // ReplicaBatch converts the message to a batch. The age counts from the time at which the request was sent, which
 // avoids underestimating it.
 func (b Batch) ReplicaBatch(sent time.Time) replica.Batch {
-	batch := replica.Batch{Next: b.Next, Full: b.Full, AsOf: sent.Add(-time.Duration(b.AgeMs) * time.Millisecond)}
+	batch := replica.Batch{Next: b.Next, Full: b.Full, AsOf: sent.Add(-boundedAge(b.AgeMs))}
 	for _, r := range b.Records {
 		batch.Records = append(batch.Records, replica.Record(r))
 	}
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -53,7 +53,7 @@
 
 func (s *Server) handleSync(w http.ResponseWriter, r *http.Request) {
 	var m peerapi.SyncRequest
-	if !s.decodeMessage(w, r, &m) {
+	if !s.decodeMessage(w, r, &m) || !s.checkSender(w, m.From) {
 		return
 	}
 	now := time.Now()
@@ -102,7 +102,7 @@
 
 func (s *Server) handleEvidence(w http.ResponseWriter, r *http.Request) {
 	var m peerapi.Evidence
-	if !s.decodeMessage(w, r, &m) {
+	if !s.decodeMessage(w, r, &m) || !s.checkSender(w, m.From) {
 		return
 	}
 	now := time.Now()
@@ -130,6 +130,15 @@
 	return out
 }
 
+func (s *Server) checkSender(w http.ResponseWriter, h peerapi.Host) bool {
+	err := h.Check()
+	if err != nil {
+		s.Logger.Warn().Err(err).Msg("rejecting peer request: its sender is invalid")
+		w.WriteHeader(http.StatusBadRequest)
+	}
+	return err == nil
+}
+
 func (s *Server) decodeMessage(w http.ResponseWriter, r *http.Request, m any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(m)
 	if err != nil {
--- a/internal/replica/replicacmd/replicacmd.go
+++ b/internal/replica/replicacmd/replicacmd.go
@@ -110,18 +110,16 @@
 }
 
 // recordComparison returns the equality function for records of the topic, or nil for a comparison of the bytes.
-// Heartbeats of backend servers do not count as changes.
+// Heartbeats of backend servers do not count as changes, and neither do changes of a record that stays malformed.
 func (c *Commands) recordComparison(topic table.Topic) func(a, b []byte) bool {
 	if topic != table.TopicBackendServers {
 		return nil
 	}
 	return func(a, b []byte) bool {
-		old, err := c.Decoder.BackendServer("", a)
-		if err != nil {
-			return false
-		}
-		current, err := c.Decoder.BackendServer("", b)
-		return err == nil && old == current
+		const anyInstance = "any" // the key is the same for both
+		old, oldErr := c.Decoder.BackendServer(anyInstance, a)
+		current, err := c.Decoder.BackendServer(anyInstance, b)
+		return (oldErr == nil) == (err == nil) && old == current
 	}
 }
 
--- a/internal/replica/replicaquery/replicaquery.go
+++ b/internal/replica/replicaquery/replicaquery.go
@@ -51,12 +51,19 @@
 	return records
 }
 
-// Slots returns the total number of slots of all registered backend servers.
+// Slots returns the total number of slots of the backend servers that are registered for a configured service.
 func (q *Queries) Slots() (slots int) {
-	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
-		for _, e := range r.Registry.Entries {
-			slots += e.Slots
+	q.Tables.Config.Read(guard.Held{}, func(h guard.Held, v *table.Config) {
+		if v.Compiled == nil {
+			return
 		}
+		q.Tables.Replicas.Read(h, func(_ guard.Held, r *table.Replicas) {
+			for _, e := range r.Registry.Entries {
+				if _, configured := v.Compiled.Services[e.Service]; configured {
+					slots += e.Slots
+				}
+			}
+		})
 	})
 	return slots
 }
