Play leaving servers, pauses, repeated refusals, floods and odd records in the soak

Change: modes of the stand-in backend server, a fault that lets a server announce its leaving in responses before its registration, odd records among the registrations, and two checks by node and server: nothing later than 2 s after a node passed on that a server is leaving, and at most two requests between half a second after a request for a pause and its end.

--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -33,6 +33,8 @@
 	ResponseMatches bool
 	// HeadersReceived is true if response headers arrived from the node.
 	HeadersReceived bool
+	// LeavingServer is the backend server that said in the response that it is leaving.
+	LeavingServer string
 	// Idempotent is true if the request may be executed more than once.
 	Idempotent bool
 }
@@ -166,6 +168,9 @@
 	}
 	defer response.Body.Close()
 	result.HeadersReceived = true
+	if response.Header.Get(standin.HeaderLeaving) != "" {
+		result.LeavingServer = response.Header.Get(standin.HeaderSignature)
+	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -4,12 +4,21 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"egretline.example/egretline/platform/standin"
 )
 
 const (
 	// drainTimeout is the time after which a leaving server must get no new request: 2 s in normal operation. The limit
 	// does not apply while the store or a node has a fault, so the longest faults are added to it.
 	drainTimeout = 2*time.Second + 3*time.Second + 3*time.Second
+	// leavingTimeout is the time after a response in which a server said that it is leaving until a node sends it no more
+	// requests.
+	leavingTimeout = 2 * time.Second
+	// pauseGrace is the time after a request for a pause within which requests may still arrive, and maxDuringPause the
+	// number that may arrive after it.
+	pauseGrace     = 500 * time.Millisecond
+	maxDuringPause = 2
 	// retryBudgetRatio and retryBudgetBurst bound the retries of a service in each retryBudgetWindow: retryBudgetRatio
 	// retries per request plus retryBudgetBurst.
 	retryBudgetRatio  = 0.2
@@ -43,6 +52,7 @@
 		}
 	}
 	h.checkDrain(add)
+	h.checkNotices(add)
 	h.checkRetryBudget(add)
 	return violated
 }
@@ -84,6 +94,55 @@
 	}
 }
 
+// nodeServer is a pair of a node, by its caller address, and a backend server.
+type nodeServer struct{ node, server string }
+
+// checkNotices checks what nodes send to servers that said in a response that they are leaving, or asked for a pause. A
+// fault of the node after the response excuses it.
+func (h *harness) checkNotices(add func(string, ...any)) {
+	calls := map[string]call{}
+	toldLeaving := map[nodeServer]time.Time{}
+	for _, c := range h.calls.snapshot() {
+		calls[c.ID] = c
+		key := nodeServer{c.NodeAddress, c.LeavingServer}
+		if at, told := toldLeaving[key]; c.LeavingServer != "" && (!told || c.DoneAt.Before(at)) {
+			toldLeaving[key] = c.DoneAt
+		}
+	}
+	paused := map[nodeServer]time.Time{}
+	duringPause := map[nodeServer]int{}
+	for _, a := range h.journal.Arrivals() {
+		c := calls[a.ID]
+		key := nodeServer{c.NodeAddress, a.Server}
+		if at, told := toldLeaving[key]; told && c.SentAt.After(at.Add(leavingTimeout)) && !h.faultSince(c.NodeAddress, at) {
+			add("leaving-response: %s reached %s %s after its node was told", a.ID, a.Server, a.At.Sub(at))
+		}
+		at, asked := paused[key]
+		if inPause := asked && a.At.After(at.Add(pauseGrace)) && a.At.Before(at.Add(standin.PauseDuration)); inPause && !h.faultSince(c.NodeAddress, at) {
+			if duringPause[key]++; duringPause[key] > maxDuringPause {
+				add("pause: %s reached %s %s after it asked for a pause", a.ID, a.Server, a.At.Sub(at))
+			}
+		}
+		if a.Paused {
+			paused[key], duringPause[key] = a.At, 0
+		}
+	}
+}
+
+// faultSince reports whether the node had a fault in a run that ended or started after the time.
+func (h *harness) faultSince(callerAddress string, since time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.nodes {
+		for _, r := range n.runs {
+			if n.callerAddress == callerAddress && (r.startedAt.After(since) || r.disrupted && (r.endedAt.IsZero() || r.endedAt.After(since))) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (h *harness) checkRetryBudget(add func(string, ...any)) {
 	type count struct{ requests, retries int }
 	windows := map[string]map[int64]*count{}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -28,12 +29,15 @@
 	{"store-cut", storeRelayFault(relay.Faults{CutToClient: true})},
 	{"store-refuses", storeRelayFault(relay.Faults{Refuse: true})},
 	{"config", func(_ context.Context, h *harness) { h.publishConfig() }},
-	{"drain", drainBackend}, {"backend-cut", backendRelayFault(relay.Faults{CutToTarget: true})},
+	{"drain", drainBackend}, {"drain-unlisted", drainUnlistedBackend}, {"backend-cut", backendRelayFault(relay.Faults{CutToTarget: true})},
 	{"backend-silent", backendRelayFault(relay.Faults{CutToClient: true})},
 	{"backend-reset", backendRelayFault(relay.Faults{Refuse: true})},
 	{"backend-delay", backendRelayFault(relay.Faults{DelayMs: 150})},
 	{"fails", backendModeFault(standin.ModeFail)},
 	{"hangs", backendModeFault(standin.ModeHang)}, {"sheds", backendModeFault(standin.ModeShed)},
+	{"pauses", backendModeFault(standin.ModePause)}, {"repeats-refusals", backendModeFault(standin.ModeRepeatRefusal)},
+	{"floods-head", backendModeFault(standin.ModeFloodHead)}, {"floods-body", backendModeFault(standin.ModeFloodBody)},
+	{"odd-record", putOddRecord},
 	{"repeats", backendModeFault(standin.ModeDuplicateResponse)},
 	{"cuts", backendModeFault(standin.ModeTruncateBody)}, {"drops", backendModeFault(standin.ModeDropConnection)},
 }
@@ -152,6 +156,30 @@
 	h.addBackend(ctx, b.ID+"n", b.Service)
 }
 
+// drainUnlistedBackend lets a server say in its responses that it is leaving, some time before its registration does.
+func drainUnlistedBackend(ctx context.Context, h *harness) {
+	b := h.pickBackend()
+	if b == nil {
+		return
+	}
+	b.SetLeaving()
+	h.sleepRandom(ctx, 4*time.Second)
+	h.announceLeaving(b)
+	h.addBackend(ctx, b.ID+"n", b.Service)
+}
+
+// putOddRecord leaves a record among those of the backend servers that no backend server writes.
+func putOddRecord(_ context.Context, h *harness) {
+	h.mu.Lock()
+	odd := []string{
+		strings.Repeat(`{"a":[`, 20_000), `{"service":"desk","capacity":1e999}`,
+		`{"service":"desk","addr":"127.0.0.1:70000","zone":"z0","version":"v1","capacity":6,"state":"ready","warmupLeft":"0ms","seq":1}`,
+	}[h.rng.IntN(3)]
+	key := fmt.Sprint("odd-", h.rng.IntN(5))
+	h.mu.Unlock()
+	h.store.Put(standin.TopicServers, key, odd)
+}
+
 func backendRelayFault(f relay.Faults) func(context.Context, *harness) {
 	return func(ctx context.Context, h *harness) {
 		if b := h.pickBackend(); b != nil {
