Count requests that are refused because of a pause

Cause: a request that was refused from the queue because all servers asked for a pause was missing in the counts of refusals. Change: it counts under servers-paused.

--- a/internal/backend/http1/refusal_test.go
+++ b/internal/backend/http1/refusal_test.go
@@ -150,7 +150,7 @@
 		assertMayHaveRun(t, send(t, NewPool(), "r1", b.Server))
 	})
 	t.Run("a connection with many refusals is closed", func(t *testing.T) {
-		b, p := newTestBackend(t, respondWith(func(id string) string { return refusalText(id) })), NewPool()
+		b, p := newTestBackend(t, respondWith(refusalText)), NewPool()
 		for range maxRefusedIDs + 1 {
 			assertRefused(t, send(t, p, "r"+time.Now().String(), b.Server))
 		}
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -77,7 +77,10 @@
 			p := newServicePool(servers, queue, b.Health[service], now)
 			p.Sharing = sharing
 			pauses = pausesOf(b, service, now)
-			refused = removePaused(queue, pauses, now)
+			for _, t := range removePaused(queue, pauses, now) {
+				countsOf(q, t).Refused[admission.ServersPaused]++
+				refused = append(refused, t)
+			}
 			for d.assignNext(now, p, q, queue, &late) {
 				q.InFlight++
 			}
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -31,7 +31,7 @@
 // Counts holds the request counters of one service and rank since the node started.
 type Counts struct {
 	Admitted int64
-	// Refused counts the requests that were refused on arrival, by reason.
+	// Refused counts the requests that were refused before an attempt could be sent, by reason.
 	Refused map[admission.Reason]int64
 	// Displaced counts the waiting requests that were removed in favor of another tenant's requests.
 	Displaced int64
