--- a/internal/decide/notice/notice.go
+++ b/internal/decide/notice/notice.go
@@ -48,7 +48,7 @@
 // Permits reports whether the server may get a new request.
 func (s State) Permits(now time.Time) bool { return !s.Leaving && !now.Before(s.PausedUntil) }
 
-// Table holds the states of all runs that asked for something. The zero value is an empty table.
+// Table holds the states of all runs that asked for something. The zero value is an empty table. It has no lock of its own.
 type Table struct {
 	runs map[Run]State
 	// lastPauseEnd is the latest end of all pauses.
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -80,6 +80,7 @@
 	}
 	loser.Runner.Discard()
 	now := time.Now()
+	d.Health.Responded(now, loser.Assignment, loser.Result)
 	d.Health.Observe(now, loser.Assignment, loser.Result)
 	d.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		releaseSlot(b, loser.Assignment, loser.Result, now)
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -19,7 +19,7 @@
 type HealthObserver interface {
 	// Started records that an attempt is being sent.
 	Started(now time.Time, a table.Assignment)
-	// Responded records the arrival of the response headers, or their absence.
+	// Responded records the arrival of the response headers, or their absence. It is called once for each attempt.
 	Responded(now time.Time, a table.Assignment, r table.Result)
 	// Observe records the result of an attempt that is still in the table of requests in flight.
 	Observe(now time.Time, a table.Assignment, r table.Result)
--- a/pkg/healthcmd/notice_test.go
+++ b/pkg/healthcmd/notice_test.go
@@ -38,9 +38,13 @@
 	return f
 }
 
+func (*noticeFixture) assignment(server fleet.BackendServer) table.Assignment {
+	return table.Assignment{Ticket: &table.Ticket{ID: "t", Service: "desk", Deadline: start.Add(time.Hour)}, Server: server}
+}
+
 // respond records a response of the run of the server, as after a request that was sent to it.
 func (f *noticeFixture) respond(server fleet.BackendServer, r table.Result) {
-	a := table.Assignment{Ticket: &table.Ticket{ID: "t", Service: "desk", Deadline: start.Add(time.Hour)}, Server: server}
+	a := f.assignment(server)
 	f.Responded(start, a, r)
 	f.Observe(start, a, r)
 }
@@ -68,6 +72,13 @@
 		assertNextUse(t, f, time.Hour, healthquery.NoUse)
 		is.New(t).Equal(f.sink.runs, []notice.Run{notice.RunOf(f.server)})
 	})
+	t.Run("a pause counts from the response, not from the end of its body", func(t *testing.T) {
+		f := newNoticeFixture()
+		a := f.assignment(f.server)
+		f.Responded(start, a, paused)
+		f.Observe(start.Add(time.Second), a, paused)
+		assertNextUse(t, f, 2*time.Second, healthquery.NormalUse)
+	})
 	t.Run("a pause ends", func(t *testing.T) {
 		f := newNoticeFixture()
 		f.respond(f.server, paused)
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -45,9 +45,8 @@
 // which holds its age.
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	var failedFast, recovered, leaving bool
+	var failedFast, recovered bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-		leaving = recordNotice(b, a, r, now)
 		s, health := findAndTouch(b, key, now)
 		if s == nil || isNewRun(s.Server, a.Server) {
 			return
@@ -71,7 +70,6 @@
 	if recovered && c.Sink != nil {
 		c.Sink.Recovered(now, key, a.Server.Instance)
 	}
-	c.reportLeaving(now, a, leaving)
 	c.record(trace.Event{
 		At: now, Kind: trace.Ended, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 		Evidence: r.Evidence, Latency: r.Latency, Leaving: r.Leaving,
@@ -95,8 +93,8 @@
 	})
 }
 
-// Responded records that the response headers of a request have arrived. A sign of leaving takes effect now rather than
-// after the body has been streamed.
+// Responded records that the response headers of a request have arrived. What the server asked for takes effect now rather
+// than after the body has been streamed.
 func (c *Commands) Responded(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
 	var leaving bool
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"syscall"
 	"time"
 
@@ -171,13 +170,10 @@
 // putOddRecord leaves a record among those of the backend servers that no backend server writes.
 func putOddRecord(_ context.Context, h *harness) {
 	h.mu.Lock()
-	odd := []string{
-		strings.Repeat(`{"a":[`, 20_000), `{"service":"desk","capacity":1e999}`,
-		`{"service":"desk","addr":"127.0.0.1:70000","zone":"z0","version":"v1","capacity":6,"state":"ready","warmupLeft":"0ms","seq":1}`,
-	}[h.rng.IntN(3)]
-	key := fmt.Sprint("odd-", h.rng.IntN(5))
+	odd := standin.OddRegistrations(deskService)
+	value, key := odd[h.rng.IntN(len(odd))], fmt.Sprint("odd-", h.rng.IntN(5))
 	h.mu.Unlock()
-	h.store.Put(standin.TopicServers, key, odd)
+	h.store.Put(standin.TopicServers, key, value)
 }
 
 func backendRelayFault(f relay.Faults) func(context.Context, *harness) {
