Hand out each port of the test harness once

Change: FreeAddresses takes ports in turn from a block of the test process, below the range of outgoing connections; the soak uses it instead of its own copy.

--- a/test/fleetproc/process.go
+++ b/test/fleetproc/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -110,17 +111,35 @@
 	<-p.done
 }
 
-// FreeAddresses returns n different loopback addresses that nothing listens on. It keeps all listeners open until the last
-// address is found, because the kernel could assign a released port again.
+// Ports of processes lie below the range that the kernel gives to outgoing connections (32768 and up). Each test process
+// takes its own block of them.
+const (
+	minPort       = 15_000
+	portBlocks    = 25
+	portsPerBlock = 600
+)
+
+// nextPort counts the ports that this process has handed out or found in use.
+var nextPort atomic.Uint32
+
+// FreeAddresses returns n different loopback addresses that nothing listens on. An address is not returned again before all
+// others of the block were, because a process that was started with it may not listen yet.
 func FreeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	block := minPort + os.Getpid()%portBlocks*portsPerBlock
+	var lastErr error
+	for tried := 0; len(addresses) < n && tried < portsPerBlock; tried++ {
+		address := fmt.Sprintf("127.0.0.1:%d", block+int(nextPort.Add(1)-1)%portsPerBlock)
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 		if err != nil {
-			return nil, eris.Wrap(err, "listen on a free loopback port")
+			lastErr = err
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		_ = l.Close()
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < n {
+		return nil, eris.Wrapf(lastErr, "find %d free loopback ports", n)
 	}
 	return addresses, nil
 }
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -92,7 +92,8 @@
 	for k := range servers {
 		h.addBackend(ctx, fmt.Sprintf("i-%d", k), []string{deskService, viewService}[k%2])
 	}
-	addresses := nonEphemeralAddresses(t, nodes*5)
+	addresses, err := fleetproc.FreeAddresses(nodes * 5)
+	is.New(t).NoErr(err)
 	for k := range nodes {
 		h.addNode(ctx, k, l.Addr().String(), addresses[5*k:5*k+5], addresses[1])
 	}
@@ -107,29 +108,6 @@
 	return h
 }
 
-// Node ports lie below the ephemeral port range of the kernel (32768 and up). Seed 202 failed once because an outgoing
-// connection held the port of a node while the node was restarted.
-const (
-	minNodePort = 15_000
-	maxNodePort = 30_000
-)
-
-// nonEphemeralAddresses returns n unused loopback addresses with ports between minNodePort and maxNodePort.
-func nonEphemeralAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var addresses []string
-	for len(addresses) < n {
-		address := fmt.Sprintf("127.0.0.1:%d", minNodePort+rand.IntN(maxNodePort-minNodePort))
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", address)
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.0.0.1:0")
