--- a/review/_cases/drain.go
+++ b/review/_cases/drain.go
@@ -46,13 +46,11 @@
 	mu       sync.Mutex
 	waiting  int
 	arrivals map[string]time.Time
-	// bodies holds the number of bytes of each request's body; nil if they are not counted.
-	bodies map[string]int64
 }
 
 func (u *queueUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, arrived := r.Header.Get(standin.HeaderRequestID), time.Now()
-	body, _ := io.Copy(io.Discard, r.Body)
+	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(standin.HeaderRequestID, id)
 	if e := r.Header.Get(names["expect-instance"]); e != "" && e != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -60,9 +58,6 @@
 	}
 	u.mu.Lock()
 	u.arrivals[id] = arrived
-	if u.bodies != nil {
-		u.bodies[id] = body
-	}
 	full := u.waiting >= drainSlots+drainQueued
 	if !full {
 		u.waiting++
--- a/review/_cases/early.go
+++ b/review/_cases/early.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"egretline.example/egretline/platform/standin"
@@ -19,14 +20,21 @@
 
 // Figures of the case early-answer.
 const (
-	earlyHost     = "hulo84.example"
-	earlyPath     = "/xapu221/ny95/upload"
-	earlyBody     = 240 << 10 // the length of a request body
-	earlyPiece    = 4 << 10   // a client sends a body in such pieces
-	earlyPause    = 10 * time.Millisecond
-	earlyAfter    = 96 << 10 // with trouble, an upstream answers when it has read so much
-	earlyResponse = 6 << 10
-	earlyRequests = 40
+	earlyHost      = "hulo84.example"
+	earlyPath      = "/xapu221/ny95/upload"
+	earlyUpstreams = 10
+	earlyGarbling  = 5  // upstreams that answer early at times, a share of 0.5
+	earlyEvery     = 50 // such an upstream answers one in 50 requests early, 0.02 of its answers
+	earlyFirst     = 15 // the first of them
+	earlyClients   = 54 // at a time, nine tenths of what the upstreams can run
+	earlyFrom      = 5 * time.Second
+	earlyUntil     = earlyFrom + 5*time.Second // 5 s with early answers
+	earlyFor       = 15 * time.Second
+	earlyBody      = 200 << 10 // the length of a request body
+	earlyPiece     = 4 << 10   // a client sends a body in such pieces
+	earlyPause     = 10 * time.Millisecond
+	earlyAfter     = 80 << 10 // an early answer comes when so much of the body has been read
+	earlyResponse  = 6 << 10
 )
 
 // bodyByte is the byte of a request's body at the offset. It makes each block of 8 bytes distinct.
@@ -47,11 +55,34 @@
 type earlyUpstream struct {
 	l  *lab
 	id string
+	// garbling reports whether the upstream answers early at times.
+	garbling bool
+
+	// from and until bound the time in which it does.
+	from, until time.Time
 
 	mu       sync.Mutex
+	requests int // in that time
+	early    int
 	verdicts map[string]string
 }
 
+// answersEarly reports whether the upstream answers its next request early.
+func (u *earlyUpstream) answersEarly() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if !u.l.trouble || !u.garbling || now.Before(u.from) || now.After(u.until) {
+		return false
+	}
+	u.requests++
+	if u.requests%earlyEvery != earlyFirst {
+		return false
+	}
+	u.early++
+	return true
+}
+
 func (u *earlyUpstream) serve(listener net.Listener) {
 	for {
 		c, err := listener.Accept()
@@ -82,7 +113,7 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", standin.HeaderRequestID, id)
 		return false
 	}
-	answered := false
+	early, answered := u.answersEarly(), false
 	answer := func() bool {
 		answered = true
 		body := strings.Repeat("r", earlyResponse)
@@ -100,15 +131,15 @@
 			}
 			offset++
 		}
-		if u.l.trouble && !answered && offset >= earlyAfter && !answer() {
+		if early && !answered && offset >= earlyAfter && !answer() {
 			return false
 		}
 		if errors.Is(err, io.EOF) {
-			u.verdict(id, offset, wrongAt, true)
+			u.verdict(id, offset, wrongAt, true, early)
 			return answered || answer()
 		}
 		if err != nil {
-			u.verdict(id, offset, wrongAt, false)
+			u.verdict(id, offset, wrongAt, false, early)
 			return false
 		}
 	}
@@ -116,7 +147,7 @@
 
 // verdict records which bytes arrived. A body that breaks off is no fault; other bytes are, and so is the end of a body in
 // the protocol before its last byte.
-func (u *earlyUpstream) verdict(id string, received, wrongAt int, ended bool) {
+func (u *earlyUpstream) verdict(id string, received, wrongAt int, ended, early bool) {
 	text := "whole"
 	switch {
 	case wrongAt >= 0:
@@ -126,7 +157,9 @@
 	case !ended:
 		text = fmt.Sprintf("broken off after %d bytes, all as sent", received)
 	}
-	u.l.logf("upstream %s, request %s: body %s", u.id, id, text)
+	if early || text != "whole" {
+		u.l.logf("upstream %s, request %s, answered early %v: body %s", u.id, id, early, text)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.verdicts[id] = text
@@ -140,12 +173,14 @@
 		return false, err
 	}
 	var upstreams []*earlyUpstream
-	for k := range 4 {
+	for k := range earlyUpstreams {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return false, err
 		}
-		u := &earlyUpstream{l: l, id: fmt.Sprintf("i-%08x", 0x7f3a91c2+k), verdicts: map[string]string{}}
+		u := &earlyUpstream{
+			l: l, id: fmt.Sprintf("i-%08x", 0x7f3a91c2+k), garbling: k < earlyGarbling, verdicts: map[string]string{},
+		}
 		upstreams = append(upstreams, u)
 		go u.serve(listener)
 		l.register(ctx, u.id, "wuno96b", "mid-a", listener.Addr().String())
@@ -161,19 +196,36 @@
 	if err := l.awaitFleet(earlyHost); err != nil {
 		return false, err
 	}
-	answered := 0
-	for k := range earlyRequests {
-		n := l.nodes[k%len(l.nodes)]
-		status, err := l.upload(n.caller, fmt.Sprintf("%016x", 0x9c41d07be2a35f68+uint64(k)*0x1f3d5b79), k%2 == 1)
-		l.logf("client: request %d to %s: status %d, error %v", k, n.id, status, err)
-		if status == http.StatusOK {
-			answered++
-		}
+	var running sync.WaitGroup
+	var sent, answered atomic.Int64
+	begin := time.Now()
+	end := begin.Add(earlyFor)
+	for _, u := range upstreams {
+		u.mu.Lock()
+		u.from, u.until = begin.Add(earlyFrom), begin.Add(earlyUntil)
+		u.mu.Unlock()
+	}
+	for client := range earlyClients {
+		n := l.nodes[client%len(l.nodes)]
+		running.Go(func() {
+			for time.Now().Before(end) {
+				k := sent.Add(1)
+				id := fmt.Sprintf("%016x", 0x9c41d07be2a35f68+uint64(k)*0x1f3d5b79)
+				status, err := l.upload(n.caller, id, k%2 == 1)
+				if status == http.StatusOK {
+					answered.Add(1)
+				} else {
+					l.logf("client: request %s to %s: status %d, error %v", id, n.id, status, err)
+				}
+			}
+		})
 	}
+	running.Wait()
 	time.Sleep(500 * time.Millisecond)
-	wrong, seen := 0, 0
+	wrong, seen, early := 0, 0, 0
 	for _, u := range upstreams {
 		u.mu.Lock()
+		early += u.early
 		for _, v := range u.verdicts {
 			seen++
 			if strings.HasPrefix(v, "WRONG") {
@@ -182,8 +234,9 @@
 		}
 		u.mu.Unlock()
 	}
-	l.logf("RESULT: %d requests sent, %d answered 200, %d bodies seen by upstreams, %d of them with other bytes", earlyRequests, answered, seen, wrong)
-	if answered == 0 {
+	l.logf("RESULT: %d requests sent, %d answered 200, %d seen by upstreams, %d answered early, %d bodies with other bytes",
+		sent.Load(), answered.Load(), seen, early, wrong)
+	if answered.Load() == 0 {
 		return false, errors.New("no request was answered")
 	}
 	return wrong > 0, nil
--- a/review/_cases/lab.go
+++ b/review/_cases/lab.go
@@ -144,39 +144,14 @@
 	return n, nil
 }
 
-// startNodes writes the settings of all nodes as the platform does and starts them. The figures are those of the small
-// site bayspace-edge.
+// startNodes writes the settings of all nodes and starts them for the first time.
 func (l *lab) startNodes() error {
-	template, err := deployField("template")
-	if err != nil {
-		return err
-	}
 	run, err := deployField("run")
 	if err != nil {
 		return err
 	}
-	text, err := os.ReadFile(template)
-	if err != nil {
-		return err
-	}
 	for _, n := range l.nodes {
-		fields := map[string]any{
-			"node": n.id, "region": "midlands", "zone": n.zone, "ip": n.ip, "listen.front": n.caller, "listen.control": n.peer,
-			"listen.directory": n.directory, "listen.readiness": n.readiness, "platform.addr": l.storeAt,
-			"seeds": []string{l.nodes[0].peer}, "bootstrap": true, "limits.cpuShare": 0.32, "limits.cores": 1,
-			"limits.bandwidthMbps": 1000.0, "limits.memoryMb": 284, "bounds.grace": "6s", "bounds.budgetRatio": 0.2,
-			"bounds.budgetBurst": 62,
-		}
-		filled := placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
-			m := placeholder.FindStringSubmatch(p)
-			if m[2] == "" {
-				return fmt.Sprint(fields[m[1]])
-			}
-			encoded, _ := json.Marshal(fields[m[1]])
-			return string(encoded)
-		})
-		n.settings = filepath.Join(l.dir, n.id+".conf")
-		if err := os.WriteFile(n.settings, []byte(filled), 0o600); err != nil {
+		if err := l.writeSettings(n, true); err != nil {
 			return err
 		}
 		if err := l.start(n, run); err != nil {
@@ -186,8 +161,38 @@
 	return nil
 }
 
+// writeSettings fills in the template of the deploy file as the platform does. The figures are those of the small site
+// bayspace-edge.
+func (l *lab) writeSettings(n *node, bootstrap bool) error {
+	template, err := deployField("template")
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(template)
+	if err != nil {
+		return err
+	}
+	fields := map[string]any{
+		"node": n.id, "region": "midlands", "zone": n.zone, "ip": n.ip, "listen.front": n.caller, "listen.control": n.peer,
+		"listen.directory": n.directory, "listen.readiness": n.readiness, "platform.addr": l.storeAt,
+		"seeds": []string{l.nodes[0].peer}, "bootstrap": bootstrap, "limits.cpuShare": 0.32, "limits.cores": 1,
+		"limits.bandwidthMbps": 1000.0, "limits.memoryMb": 284, "bounds.grace": "6s", "bounds.budgetRatio": 0.2,
+		"bounds.budgetBurst": 62,
+	}
+	filled := placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
+		m := placeholder.FindStringSubmatch(p)
+		if m[2] == "" {
+			return fmt.Sprint(fields[m[1]])
+		}
+		encoded, _ := json.Marshal(fields[m[1]])
+		return string(encoded)
+	})
+	n.settings = filepath.Join(l.dir, n.id+".conf")
+	return os.WriteFile(n.settings, []byte(filled), 0o600)
+}
+
 func (l *lab) start(n *node, run string) error {
-	out, err := os.Create(filepath.Join(l.dir, n.id+".log"))
+	out, err := os.OpenFile(filepath.Join(l.dir, n.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -199,11 +204,13 @@
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
-	n.done = make(chan struct{})
+	cmd, done := n.cmd, make(chan struct{})
+	n.done = done
 	go func() {
-		err := n.cmd.Wait()
+		err := cmd.Wait()
+		_ = out.Close()
 		l.logf("node %s ended: %v", n.id, err)
-		close(n.done)
+		close(done)
 	}()
 	l.logf("node %s started, callers at %s", n.id, n.caller)
 	return nil
@@ -211,12 +218,17 @@
 
 // putConfig stores the configuration of the case.
 func (l *lab) putConfig(path string) error {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return err
+	content, err := l.configuration(path)
+	if err == nil {
+		l.store.Put(standin.TopicConfig, standin.KeyConfig, content)
 	}
-	l.store.Put(standin.TopicConfig, standin.KeyConfig, string(content))
-	return nil
+	return err
+}
+
+// configuration returns the operator's record of the case.
+func (l *lab) configuration(path string) (string, error) {
+	content, err := os.ReadFile(path)
+	return string(content), err
 }
 
 // register registers an upstream and keeps its entry alive.
