--- a/review/_cases/odd.go
+++ b/review/_cases/odd.go
@@ -40,7 +40,7 @@
 type pagedStore struct {
 	mu     sync.Mutex
 	topics map[string][]storeRecord
-	// first is the offset of the oldest record that log-read returns.
+	// first is the offset of the oldest record that a read returns.
 	first map[string]int
 }
 
