--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -27,6 +27,7 @@
 	"egretline.example/egretline/internal/roster/rosterquery"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
+	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/pkg/healthquery"
@@ -271,12 +272,24 @@
 			continue
 		}
 		if err := s.http.Shutdown(ctx); err != nil {
-			n.Logger.Warn().Err(err).Msg("grace period ended with requests in flight; canceling them")
+			waiting, sent := n.unfinishedRequests()
+			n.Logger.Warn().Err(err).Int("waiting", waiting).Int("sent", sent).
+				Msg("grace period ended with requests in flight; canceling them")
 		}
 	}
 	n.Logger.Info().Dur("took-ms", time.Since(started)).Msg("node has drained")
 }
 
+// unfinishedRequests returns the number of requests that wait in a queue, and of those that were sent to a backend server.
+func (n *Node) unfinishedRequests() (waiting, sent int) {
+	queries := &dispatchquery.Queries{Tables: n.Tables}
+	for _, depth := range queries.QueueDepths() {
+		waiting += depth.Waiting
+		sent += depth.HeldSlots
+	}
+	return waiting, sent
+}
+
 func (n *Node) closeServers() {
 	for _, s := range n.servers {
 		_ = s.http.Close()
