Refuse queued requests of a stopping node before its connections are closed

Cause: admission on a draining node compared the expected wait with the deadline of the request only, not with the end of the grace period, and when that came the servers were closed with the queue still full.

Change: the dispatcher has a stop time. From SIGTERM on, requests that would not be answered before it are refused with 503 and Retry-After 0.1 s, the waiting ones at once; at the stop time the rest of the queue is refused, requests at a server get 502, and callers have 0.2 s to read it. Every request that was read thus has an answer before the process ends.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -171,6 +171,9 @@
 	r := table.Result{Evidence: fleet.Failed, Sent: sent}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		r.Evidence = fleet.Canceled
+		if cause := context.Cause(ctx); !errors.Is(cause, context.Canceled) {
+			err = cause
+		}
 	}
 	var mismatch ResponseMismatchError
 	if errors.As(err, &mismatch) {
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -271,6 +271,9 @@
 
 func (h *Handler) writeRefusal(w http.ResponseWriter, req request, result table.Result, status int) {
 	header := w.Header()
+	if h.Leaving() { // it may have started to leave while the request waited
+		header.Set("Connection", "close")
+	}
 	header.Set(h.Headers.RequestID, req.ID)
 	header.Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable {
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -55,8 +55,10 @@
 	// drainAcceptDuration is how long a leaving node accepts new connections. Callers with a fresh directory response
 	// no longer choose the node, and later requests could not complete within the grace period.
 	drainAcceptDuration = 2500 * time.Millisecond
-	// drainExitMargin is the time left of the grace period when the node cancels the requests in flight.
-	drainExitMargin = 300 * time.Millisecond
+	// drainExitMargin is the time left of the grace period when the node cancels the requests in flight, and
+	// drainAnswerTimeout the time that it then gives them to send an error response.
+	drainExitMargin    = 300 * time.Millisecond
+	drainAnswerTimeout = 200 * time.Millisecond
 )
 
 // Options configures a node.
@@ -113,6 +115,10 @@
 	peers           *peerclient.Client
 	conns           *http1.Pool
 
+	// requestContext covers the requests of callers. It is canceled when the grace period of a stopping node is nearly
+	// over.
+	requestContext context.Context
+	cancelRequests context.CancelCauseFunc
 	// peerContext covers requests to other nodes. It is canceled when the node stops, which keeps unresponsive peers
 	// from delaying the stop.
 	peerContext     context.Context
@@ -161,6 +167,7 @@
 		replicasChanged: make(chan struct{}, 1), firstReady: make(chan struct{}), listenerFailed: make(chan error, 1),
 		readJitter: rand.N(maxReadJitter),
 	}
+	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
@@ -200,9 +207,13 @@
 		n.closeServers()
 		return eris.Wrapf(err, "bind %s listener", l.Name)
 	}
-	n.servers = append(n.servers, &server{name: l.Name, listener: listener, http: &http.Server{
+	s := &server{name: l.Name, listener: listener, http: &http.Server{
 		Handler: l.Handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}})
+	}}
+	if l.Name == callerListener {
+		s.http.BaseContext = func(net.Listener) context.Context { return n.requestContext }
+	}
+	n.servers = append(n.servers, s)
 	return nil
 }
 
@@ -254,30 +265,42 @@
 }
 
 // drain announces that the node is leaving, accepts requests while callers may still choose the node, and then waits
-// for the requests in flight.
+// for the requests in flight. Every request that the node has read gets a response before the grace period is over:
+// requests that would still be waiting or running then are refused as early as that is known.
 func (n *Node) drain() {
 	started := time.Now()
+	stop := started.Add(n.Options.GracePeriod - drainExitMargin)
 	n.leaving.Store(true)
-	n.Dispatcher.DisableBackups()
+	n.Dispatcher.StopAt(stop, started)
 	n.rosterCommands.SetLeaving()
 	n.Logger.Info().Dur("grace-ms", n.Options.GracePeriod).Msg("node is leaving")
 	n.announceLeaving()
 	accept := time.NewTimer(min(drainAcceptDuration, n.Options.GracePeriod/2))
 	defer accept.Stop()
 	<-accept.C
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.Options.GracePeriod-drainExitMargin))
+	if err := n.shutdownCallerServer(time.Until(stop)); err != nil {
+		waiting, sent := n.unfinishedRequests()
+		n.Logger.Warn().Err(err).Int("waiting", waiting).Int("sent", sent).
+			Msg("grace period ended with requests in flight; canceling them")
+		n.Dispatcher.StopAt(stop, stop)
+		n.cancelRequests(GracePeriodError{})
+		if err := n.shutdownCallerServer(drainAnswerTimeout); err != nil {
+			n.Logger.Warn().Err(err).Msg("closing connections of callers that have not read their responses")
+		}
+	}
+	n.Logger.Info().Dur("took-ms", time.Since(started)).Msg("node has drained")
+}
+
+// shutdownCallerServer accepts no more connections from callers and waits until the open ones are idle.
+func (n *Node) shutdownCallerServer(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, s := range n.servers {
-		if s.name != callerListener {
-			continue
-		}
-		if err := s.http.Shutdown(ctx); err != nil {
-			waiting, sent := n.unfinishedRequests()
-			n.Logger.Warn().Err(err).Int("waiting", waiting).Int("sent", sent).
-				Msg("grace period ended with requests in flight; canceling them")
+		if s.name == callerListener {
+			return s.http.Shutdown(ctx)
 		}
 	}
-	n.Logger.Info().Dur("took-ms", time.Since(started)).Msg("node has drained")
+	return nil
 }
 
 // unfinishedRequests returns the number of requests that wait in a queue, and of those that were sent to a backend server.
--- a/pkg/decide/admission/admission.go
+++ b/pkg/decide/admission/admission.go
@@ -41,6 +41,9 @@
 	// of mean deviations. Zero means the default. A lower value serves more requests of a burst, but more of them reach
 	// their deadline without an answer.
 	MarginDeviations float64
+	// StopTime is when the node cancels the requests in progress because it is stopping. It is zero while the node is not
+	// stopping.
+	StopTime time.Time
 }
 
 // RankQueue holds the waiting requests of one rank and accounts for the slot time that the rank uses.
--- a/pkg/decide/admission/next.go
+++ b/pkg/decide/admission/next.go
@@ -15,7 +15,7 @@
 	// Item is the item to dispatch; valid only if Found is true.
 	Item  Item[T]
 	Found bool
-	// Late lists the items that were removed without being dispatched, because they can no longer meet their deadline.
+	// Late lists the items that were removed without being dispatched, because they can no longer be answered in time.
 	Late []Item[T]
 }
 
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -12,6 +14,10 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// StoppingRetryAfter is the retry delay of a request that is refused because the node is stopping. It is short because
+// the other nodes can serve the request.
+const StoppingRetryAfter = 100 * time.Millisecond
+
 // Reason is the reason why a request was refused before any attempt.
 type Reason string
 
@@ -23,6 +29,8 @@
 	QueueFull Reason = "queue-full"
 	// ServersPaused means that all servers of the service asked for no requests for some time.
 	ServersPaused Reason = "servers-paused"
+	// NodeStopping means that the request would not be answered before the node stops.
+	NodeStopping Reason = "node-stopping"
 	// TenantRate means that the tenant exceeded its limit of requests per second.
 	TenantRate Reason = "tenant-rate"
 	// TenantInFlight means that the tenant reached its limit of requests in flight at the node.
@@ -47,7 +55,13 @@
 	return fmt.Sprintf("request of tenant %s in rank %d refused: %s; retry after %s", e.Tenant, e.Rank, e.Reason, e.RetryAfter)
 }
 
-// Offer queues the item, or returns a RefusedError if the item cannot meet its deadline or the rank is full. In a full
+// StoppingError returns the error of an item that is refused because the node is stopping.
+func StoppingError[T any](i Item[T]) RefusedError {
+	return RefusedError{Reason: NodeStopping, Rank: i.Rank, Tenant: i.Tenant, RetryAfter: StoppingRetryAfter}
+}
+
+// Offer queues the item, or returns a RefusedError if the item cannot meet its deadline, cannot be answered before the
+// node stops, or the rank is full. In a full
 // rank, an item of a tenant with fewer waiting requests displaces the newest item of the tenant with the most. The
 // displaced item, which was never dispatched, is returned.
 func Offer[T any](q *Queue[T], i Item[T], now time.Time) ([]Item[T], error) {
@@ -59,6 +73,9 @@
 			Reason: DeadlineTooClose, Rank: i.Rank, Tenant: i.Tenant, RetryAfter: clampRetryAfter(wait + requiredTime(q, i) - left),
 		}
 	}
+	if !fitsBeforeStop(q, i, wait, now) {
+		return nil, StoppingError(i)
+	}
 	var displaced []Item[T]
 	if r.Waiting >= MaxWaitingPerRank {
 		longest := r.tenantWithMostWaiting()
@@ -147,7 +164,34 @@
 
 // HasEnoughTime reports whether the item has enough time left to be dispatched even while other requests wait.
 func HasEnoughTime[T any](q *Queue[T], i Item[T], now time.Time) bool {
-	return i.Rank < len(q.Ranks) && i.Deadline.Sub(now) > requiredTime(q, i)
+	return i.Rank < len(q.Ranks) && i.Deadline.Sub(now) > requiredTime(q, i) && fitsBeforeStop(q, i, 0, now)
+}
+
+// fitsBeforeStop reports whether the item is answered before the node stops if it is dispatched after the wait. It uses
+// the default number of deviations, because a request that is cut by the stop may have run, while a refused one can be
+// repeated at another node.
+func fitsBeforeStop[T any](q *Queue[T], i Item[T], wait time.Duration, now time.Time) bool {
+	return q.StopTime.IsZero() || wait+q.Ranks[i.Rank].ServiceTime.RequiredTime(defaultDeviations) < q.StopTime.Sub(now)
+}
+
+// StopAt sets the time at which the node stops, and removes and returns the waiting items that would not be answered
+// before it.
+func StopAt[T any](q *Queue[T], stop, now time.Time) []Item[T] {
+	q.StopTime = stop
+	waiting := RemoveAll(q, func(Item[T]) bool { return true })
+	// The items are queued again in the order in which they are served, which gives each of them its estimated wait.
+	slices.SortStableFunc(waiting, func(a, b Item[T]) int {
+		return cmp.Or(-cmp.Compare(a.Attempt, b.Attempt), a.Arrived.Compare(b.Arrived))
+	})
+	var refused []Item[T]
+	for _, i := range waiting {
+		if fitsBeforeStop(q, i, EstimateWait(q, i.Rank, i.Tenant), now) {
+			Push(q, i)
+		} else {
+			refused = append(refused, i)
+		}
+	}
+	return refused
 }
 
 // capAtHalfTimeout limits the duration to half of the item's timeout. Otherwise requests of a rank would be refused
@@ -156,12 +200,12 @@
 	return min(d, i.Deadline.Sub(i.Arrived)/2)
 }
 
-// isLate reports whether the item cannot meet its deadline. An item that waits alone is dispatched if it has more than
+// isLate reports whether the item cannot meet its deadline or be answered before the node stops. An item that waits alone is dispatched if it has more than
 // the mean service time left, because its slot would otherwise stay unused; with less time left its outcome would most
 // likely be unknown.
 func isLate[T any](q *Queue[T], i Item[T], now time.Time) bool {
 	left := i.Deadline.Sub(now)
-	if left <= capAtHalfTimeout(i, q.Ranks[i.Rank].ServiceTime.Mean) {
+	if left <= capAtHalfTimeout(i, q.Ranks[i.Rank].ServiceTime.Mean) || !fitsBeforeStop(q, i, 0, now) {
 		return true
 	}
 	return Waiting(q) > 1 && left < requiredTime(q, i)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -81,6 +81,10 @@
 				countsOf(q, t).Refused[admission.ServersPaused]++
 				refused = append(refused, t)
 			}
+			if !q.StopTime.IsZero() {
+				// No server may become available before the node stops.
+				late = d.removeLate(q, queue, now)
+			}
 			for d.assignNext(now, p, q, queue, &late) {
 				q.InFlight++
 			}
@@ -91,9 +95,28 @@
 		d.settle(t, unservedResult(now, t, err))
 	}
 	for _, t := range late {
-		d.settle(t, unservedResult(now, t, admission.RefusedError{
-			Reason: admission.DeadlineTooClose, Rank: t.Rank, Tenant: t.Tenant, RetryAfter: d.retryAfter(t),
-		}))
+		d.settle(t, unservedResult(now, t, d.lateError(t)))
+	}
+}
+
+func (*Dispatcher) removeLate(q *table.Queues, queue *admission.Queue[*table.Ticket], now time.Time) []*table.Ticket {
+	var late []*table.Ticket
+	for _, i := range admission.RemoveLate(queue, now) {
+		countsOf(q, i.Payload).Late++
+		late = append(late, i.Payload)
+	}
+	return late
+}
+
+// lateError returns the error of a ticket that was removed from the queue because it would not be answered in time.
+func (d *Dispatcher) lateError(t *table.Ticket) admission.RefusedError {
+	var stopping bool
+	d.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, q *table.Queues) { stopping = !q.StopTime.IsZero() })
+	if stopping {
+		return admission.StoppingError(queueItem(t))
+	}
+	return admission.RefusedError{
+		Reason: admission.DeadlineTooClose, Rank: t.Rank, Tenant: t.Tenant, RetryAfter: d.retryAfter(t),
 	}
 }
 
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -89,16 +89,41 @@
 	return Sharing{}
 }
 
+// StopAt sets the time at which the node cancels the requests in progress because it is stopping. It refuses the waiting
+// requests that would not be answered before it; they have not run, and callers can repeat them at another node. New
+// requests are then admitted only if they will be answered before it.
+func (d *Dispatcher) StopAt(stop, now time.Time) {
+	d.DisableBackups()
+	var refused []admission.Item[*table.Ticket]
+	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+		q.StopTime = stop
+		for _, queue := range q.Services {
+			refused = append(refused, admission.StopAt(queue, stop, now)...)
+		}
+		for _, i := range refused {
+			countsOf(q, i.Payload).Refused[admission.NodeStopping]++
+		}
+	})
+	for _, i := range refused {
+		d.settle(i.Payload, unservedResult(now, i.Payload, admission.StoppingError(i)))
+	}
+}
+
 // Close stops admission, and waits until all admitted requests, including queued ones, have a result.
 func (d *Dispatcher) Close() {
+	d.CloseAdmission()
+	<-d.drained
+	d.exchange.Close()
+}
+
+// CloseAdmission makes Admit refuse all requests with ClosingError.
+func (d *Dispatcher) CloseAdmission() {
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
 		if !q.Closing {
 			q.Closing = true
 			d.closeIfDrained(q)
 		}
 	})
-	<-d.drained
-	d.exchange.Close()
 }
 
 func (d *Dispatcher) closeIfDrained(q *table.Queues) {
@@ -204,7 +229,7 @@
 func queueOf(q *table.Queues, service string) *admission.Queue[*table.Ticket] {
 	queue, ok := q.Services[service]
 	if !ok {
-		queue = &admission.Queue[*table.Ticket]{}
+		queue = &admission.Queue[*table.Ticket]{StopTime: q.StopTime}
 		q.Services[service] = queue
 	}
 	return queue
--- a/pkg/dispatchcmd/errors.go
+++ b/pkg/dispatchcmd/errors.go
@@ -19,7 +19,7 @@
 	return fmt.Sprintf("service %q has no backend servers in the configuration", e.Service)
 }
 
-// ClosingError reports a request that arrived after Dispatcher.Close was called.
+// ClosingError reports a request that arrived after Dispatcher.CloseAdmission was called.
 type ClosingError struct{}
 
 func (ClosingError) Error() string {
@@ -72,6 +72,9 @@
 	if errors.As(err, &refused) {
 		return refused.RetryAfter
 	}
+	if errors.As(err, &ClosingError{}) {
+		return admission.StoppingRetryAfter
+	}
 	return 0
 }
 
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"time"
+
 	"egretline.example/egretline/internal/decide/split"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/retry"
@@ -17,7 +19,9 @@
 	Unfinished int
 	// Closing reports whether admission has stopped.
 	Closing bool
-	Counts  map[CountKey]*Counts
+	// StopTime is the value of admission.Queue.StopTime for all queues.
+	StopTime time.Time
+	Counts   map[CountKey]*Counts
 	// Splits holds the state of the weighted split of each route with several services, by route name.
 	Splits map[string]*split.State
 }
