Answer requests that arrive on open connections of a stopping node

Callers saw a closed connection for a request that reached a node more than 2.5 s after its SIGTERM on a connection that was open before. It had not run, but the caller of a booking cannot know that.

Cause: after http.Server.Shutdown net/http drops the requests that it reads. Change: the node closes its listener and the idle connections, refuses later requests with 503 and waits until no connection is in use.

--- a/internal/node/entrynode/drain_test.go
+++ b/internal/node/entrynode/drain_test.go
@@ -119,8 +119,8 @@
 	is.True(r.Close)
 }
 
-// TestDrain guards against requests that a stopping node has read and whose connections it closes without an answer,
-// among them those in its queue, which no backend server has seen.
+// TestDrain guards against requests that a stopping node has read and whose connections it closes without an answer:
+// those in its queue, which no backend server has seen, and those that arrive late in the grace period.
 func TestDrain(t *testing.T) {
 	t.Run("every request in progress gets a response before the node ends", func(t *testing.T) {
 		f := newDrainFixture(t)
@@ -155,4 +155,21 @@
 		is.New(t).NoErr(<-f.stopped)
 		is.New(t).Equal(len(f.Arrived), 1)
 	})
+	t.Run("a request that arrives after the node stopped accepting connections is refused", func(t *testing.T) {
+		f := newDrainFixture(t)
+		c := f.dial(t)
+		f.stop()
+		f.await(t, "the node accepts no more connections", func() bool {
+			other, err := net.Dial("tcp4", f.Node.servers[0].listener.Addr().String()) //nolint:noctx // loopback
+			if err == nil {
+				_ = other.Close()
+			}
+			return err != nil
+		})
+		r, err := post(c, "late")
+		is.New(t).NoErr(err)
+		assertNotRun(t, r)
+		is.New(t).NoErr(<-f.stopped)
+		is.New(t).Equal(len(f.Arrived), 0)
+	})
 }
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -147,6 +147,7 @@
 	firstReady     chan struct{}
 	listenerFailed chan error
 	leaving        atomic.Bool
+	callerConns    busyConns
 	servers        []*server
 }
 
@@ -212,6 +213,7 @@
 	}}
 	if l.Name == callerListener {
 		s.http.BaseContext = func(net.Listener) context.Context { return n.requestContext }
+		s.http.ConnState = n.callerConns.observe
 	}
 	n.servers = append(n.servers, s)
 	return nil
@@ -256,7 +258,7 @@
 }
 
 func (n *Node) serve(s *server) {
-	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !n.leaving.Load() {
 		select {
 		case n.listenerFailed <- eris.Wrapf(err, "serve %s listener", s.name):
 		default:
@@ -278,29 +280,40 @@
 	accept := time.NewTimer(min(drainAcceptDuration, n.Options.GracePeriod/2))
 	defer accept.Stop()
 	<-accept.C
-	if err := n.shutdownCallerServer(time.Until(stop)); err != nil {
+	// http.Server.Shutdown would drop requests that arrive on open connections. They are refused instead, which lets
+	// callers repeat them at another node.
+	n.Dispatcher.CloseAdmission()
+	n.stopAcceptingCallers()
+	if err := n.awaitCallers(time.Until(stop)); err != nil {
 		waiting, sent := n.unfinishedRequests()
 		n.Logger.Warn().Err(err).Int("waiting", waiting).Int("sent", sent).
 			Msg("grace period ended with requests in flight; canceling them")
 		n.Dispatcher.StopAt(stop, stop)
 		n.cancelRequests(GracePeriodError{})
-		if err := n.shutdownCallerServer(drainAnswerTimeout); err != nil {
-			n.Logger.Warn().Err(err).Msg("closing connections of callers that have not read their responses")
+		if err := n.awaitCallers(drainAnswerTimeout); err != nil {
+			n.Logger.Warn().Err(err).Int("connections", n.callerConns.count()).
+				Msg("closing connections of callers that have not read their responses")
 		}
 	}
 	n.Logger.Info().Dur("took-ms", time.Since(started)).Msg("node has drained")
 }
 
-// shutdownCallerServer accepts no more connections from callers and waits until the open ones are idle.
-func (n *Node) shutdownCallerServer(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+// stopAcceptingCallers closes the listener and the idle connections of callers. The other connections are closed after
+// their next response.
+func (n *Node) stopAcceptingCallers() {
 	for _, s := range n.servers {
 		if s.name == callerListener {
-			return s.http.Shutdown(ctx)
+			_ = s.listener.Close()
+			s.http.SetKeepAlivesEnabled(false)
 		}
 	}
-	return nil
+}
+
+// awaitCallers waits until no caller uses its connection.
+func (n *Node) awaitCallers(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return n.callerConns.awaitNone(ctx)
 }
 
 // unfinishedRequests returns the number of requests that wait in a queue, and of those that were sent to a backend server.
