Let only the exchange read a request body while the response is written

Cause: net/http's server reads and drops the rest of a request body before it writes the response headers, while the exchange reads the same body to send it. In a test that varies only the length of the response, 10 bytes leave the body intact and 6 KB, which exceed the server's buffer of 2 KB, do not.

Change: requests with a body are served in full duplex; the connection of the caller is closed after a response that came before the whole body was read, and no read is in progress when the handler returns. The rest of the body follows the response. The limit of the body's size no longer changes response headers from the reading goroutine.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -59,8 +59,8 @@
 	// buffered is the start of the response body; fullyBuffered reports whether it is the whole body.
 	buffered      []byte
 	fullyBuffered bool
-	// uploadDone receives the result of sending a request body in a goroutine; nil if the body was sent synchronously.
-	uploadDone chan error
+	// upload is the sending of a request body in a goroutine; nil if the body was sent synchronously.
+	upload *upload
 	// notice is what the server asked for in the responses read by the last Send.
 	notice serverNotice
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
@@ -68,6 +68,23 @@
 	stopAbort func() bool
 }
 
+// upload is the sending of a request body while the response is awaited and delivered.
+type upload struct {
+	// done is closed when the sending has ended, with err as its result.
+	done chan struct{}
+	err  error
+}
+
+// complete reports whether the whole body was sent.
+func (u *upload) complete() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
 // Duplicate returns another exchange for the same request, or nil if its body can be sent only once. It may be called
 // while Send is running, and therefore reads only fields that do not change after construction.
 func (e *Exchange) Duplicate() table.Runner {
@@ -196,8 +213,12 @@
 		return n > 0, err
 	}
 	// The server may respond before it has read a long body, so the body is sent while the response is awaited.
-	e.uploadDone = make(chan error, 1)
-	go func() { e.uploadDone <- out.Write(e.conn.tcp) }()
+	u, tcp := &upload{done: make(chan struct{})}, e.conn.tcp
+	e.upload = u
+	go func() {
+		defer close(u.done)
+		u.err = out.Write(tcp)
+	}()
 	return true, nil
 }
 
@@ -327,10 +348,27 @@
 		e.abortConn()
 		return r
 	}
+	e.awaitUpload(ctx)
 	e.releaseConn()
 	return r
 }
 
+// awaitUpload lets the rest of the request body follow a response that arrived before it was sent, because the server may
+// read on. It does not wait if the caller needs the end of the exchange to find the end of the response.
+func (e *Exchange) awaitUpload(ctx context.Context) {
+	hasLength := e.Writer.Header().Get("Content-Length") != ""
+	if e.upload == nil || e.upload.complete() || e.response.Close || !hasLength {
+		return
+	}
+	if err := http.NewResponseController(e.Writer).Flush(); err != nil {
+		return
+	}
+	select {
+	case <-e.upload.done:
+	case <-ctx.Done():
+	}
+}
+
 func (e *Exchange) copyHeader() {
 	h := e.response.Header.Clone()
 	header.RemoveHopByHop(h)
@@ -378,26 +416,13 @@
 	c := e.conn
 	e.conn = nil
 	e.stopAbort()
-	if e.response.Close || !e.uploadComplete() {
+	if e.response.Close || e.upload != nil && !e.upload.complete() {
 		c.Close()
 		return
 	}
 	e.Pool.Put(c, e.response.Header)
 }
 
-// uploadComplete reports whether the whole request body was sent.
-func (e *Exchange) uploadComplete() bool {
-	if e.uploadDone == nil {
-		return true
-	}
-	select {
-	case err := <-e.uploadDone:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Discard drops the response. The connection returns to the pool if the response is short and complete.
 func (e *Exchange) Discard() {
 	if e.conn == nil {
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -18,6 +18,7 @@
 
 	"egretline.example/egretline/internal/backend/http1"
 	"egretline.example/egretline/internal/http/dialect"
+	"egretline.example/egretline/internal/http/fullduplex"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
@@ -99,13 +100,16 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	exchange := fullduplex.New(w, r)
+	defer exchange.End()
+	w, r = exchange.Writer, exchange.Request
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	req := request{ID: r.Header.Get(h.Headers.RequestID), Arrived: time.Now()}
 	// The write deadline of the previous request on this connection would otherwise still apply.
 	h.setWriteDeadline(w, req, req.Arrived.Add(defaultRequestTimeout))
-	req, err := h.decodeRequest(w, r, req)
+	req, err := h.decodeRequest(r, req)
 	if err != nil {
 		h.finish(w, req, table.Result{Outcome: fleet.NotRun, Err: err})
 		return
@@ -113,7 +117,7 @@
 	h.finish(w, req, h.dispatch(w, r, req))
 }
 
-func (h *Handler) decodeRequest(w http.ResponseWriter, r *http.Request, req request) (request, error) {
+func (h *Handler) decodeRequest(r *http.Request, req request) (request, error) {
 	if req.ID == "" {
 		return req, HeaderError{Name: h.Headers.RequestID}
 	}
@@ -139,7 +143,7 @@
 	if req.Route.Timeout > 0 && req.Route.Timeout < timeout {
 		req.ResponseDeadline = req.Arrived.Add(req.Route.Timeout)
 	}
-	if err := h.bufferBody(w, r, &req); err != nil {
+	if err := h.bufferBody(r, &req); err != nil {
 		return req, err
 	}
 	req.Service = h.Dispatcher.NextService(req.Route)
@@ -183,11 +187,12 @@
 
 // bufferBody reads up to maxBufferedRequestBytes of the body. This happens before the dispatch, because a caller that
 // stalls while it sends the body would otherwise occupy a slot of a backend server.
-func (h *Handler) bufferBody(w http.ResponseWriter, r *http.Request, req *request) error {
+func (h *Handler) bufferBody(r *http.Request, req *request) error {
 	if r.ContentLength > h.MaxBodyBytes {
 		return BodyError{TooLarge: true, Err: HeaderError{Name: "Content-Length", Value: strconv.FormatInt(r.ContentLength, 10)}}
 	}
-	body := http.MaxBytesReader(w, r.Body, h.MaxBodyBytes)
+	// Without the writer, the reader does not change the response headers while another goroutine writes them.
+	body := http.MaxBytesReader(nil, r.Body, h.MaxBodyBytes)
 	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedRequestBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
