Keep the bytes of long bodies after an early answer in egretline serve

No caller has reported it.

Cause: net/http's transport reads the caller's body on its own goroutine while the node's server drops the rest of it before it writes the response. Change: service/caller serves requests in full duplex. Full duplex is now enabled when the reading begins: net/http panics at the next request of a connection ("invalid concurrent Body.Read call") if it is enabled for a body that nobody reads, which the tests of service/node showed. Connections with an unread body are thus kept as before.

--- a/internal/http/fullduplex/fullduplex_test.go
+++ b/internal/http/fullduplex/fullduplex_test.go
@@ -148,14 +148,18 @@
 			})
 		}
 	})
-	t.Run("a connection whose body was read is kept", func(t *testing.T) {
-		c := newCaller(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			e := New(w, r)
-			defer e.End()
-			_, _ = io.Copy(io.Discard, e.Request.Body)
-			_, _ = io.WriteString(e.Writer, "done")
-		}), "Content-Length: 2")
-		c.send(t, "xx")
-		is.New(t).Equal(c.assertResponse(t, "done"), false)
-	})
+	for name, limit := range map[string]int64{"was read": 2, "was not touched": 0} {
+		t.Run("a connection whose body "+name+" is kept", func(t *testing.T) {
+			c := newCaller(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				e := New(w, r)
+				defer e.End()
+				_, _ = io.Copy(io.Discard, io.LimitReader(e.Request.Body, limit))
+				_, _ = io.WriteString(e.Writer, "done")
+			}), "Content-Length: 2")
+			c.send(t, "xx")
+			is.New(t).Equal(c.assertResponse(t, "done"), false)
+			c.send(t, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			c.assertResponse(t, "done")
+		})
+	}
 }
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"egretline.example/egretline/internal/http/fullduplex"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/dispatchcmd"
@@ -92,6 +93,9 @@
 }
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request, req request) {
+	exchange := fullduplex.New(w, r)
+	defer exchange.End()
+	w, r = exchange.Writer, exchange.Request
 	if r.URL.Path == pathEntries && r.Method == http.MethodGet {
 		h.serveEntries(w, r, req)
 		return
