Never send a request body from the middle

An attempt of egretline serve that has ended may still be reading the caller's body for its connection. If that read passed the 64 KB that are kept, the next attempt continued where the first had stopped, and a backend server ran a request whose body lacked its start.

Change: an attempt whose position differs from that of the caller's connection gets PositionError, so the server sees a body that breaks off.

--- a/service/backend/body.go
+++ b/service/backend/body.go
@@ -16,6 +16,8 @@
 	mu       sync.Mutex
 	source   io.Reader
 	buffered []byte
+	// position is the number of bytes that were read from the source.
+	position int
 	tooLong  bool
 	err      error
 }
@@ -33,10 +35,14 @@
 	if !b.tooLong && offset < len(b.buffered) {
 		return copy(p, b.buffered[offset:]), nil
 	}
+	if offset != b.position {
+		return 0, PositionError{Want: offset, Got: b.position}
+	}
 	if b.err != nil {
 		return 0, b.err
 	}
 	n, err := b.source.Read(p)
+	b.position += n
 	b.err = err
 	b.buffer(p[:n])
 	return n, err
--- a/service/backend/errors.go
+++ b/service/backend/errors.go
@@ -55,3 +55,14 @@
 }
 
 func (e BodyError) Unwrap() error { return e.Err }
+
+// PositionError reports a read of a request body whose bytes another attempt has taken.
+type PositionError struct {
+	// Want is the position, in bytes, at which the attempt reads, and Got that of the caller's connection.
+	Want int
+	Got  int
+}
+
+func (e PositionError) Error() string {
+	return fmt.Sprintf("request body: byte %d is gone, because another attempt has read %d bytes", e.Want, e.Got)
+}
