Play bursts, slow servers, long bodies and early answers in the fault soak

A tenth of the bookings now has a body of 200 KB, which the backend servers compare with what its caller sent; new faults are bursts of 150 requests, slow servers, and servers that respond after 80 KB of a body and read on.

--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -18,6 +18,10 @@
 	virtualHost = "shop.example"
 	// requestTimeout is how long a caller waits for a response.
 	requestTimeout = 3 * time.Second
+	// longBodyBytes is the length of a request body of which nodes keep only the start, and longBodyFraction the fraction
+	// of the bookings that have one.
+	longBodyBytes    = 200 << 10
+	longBodyFraction = 0.1
 )
 
 // call is one request of a caller and its outcome.
@@ -134,10 +138,14 @@
 func (c *caller) sendRequest(ctx context.Context, id string) {
 	result := call{ID: id, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Path: "/book/x",
 		Idempotent: false}
-	method, body := http.MethodPost, "order "+id
+	method, bodyBytes := http.MethodPost, 40
+	if c.rng.Float64() < longBodyFraction {
+		bodyBytes = longBodyBytes
+	}
 	if c.rng.IntN(2) == 0 {
-		result.Path, result.Idempotent, method, body = []string{"/view/x", "/bulk/x"}[c.rng.IntN(2)], true, http.MethodGet, ""
+		result.Path, result.Idempotent, method, bodyBytes = []string{"/view/x", "/bulk/x"}[c.rng.IntN(2)], true, http.MethodGet, 0
 	}
+	body := standin.RequestBody(id, bodyBytes)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
 	defer cancel()
 	// net/http retries a request on a new connection if it can rewind the body; NopCloser hides GetBody to prevent that.
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -51,6 +51,9 @@
 				c.ID, c.NodeAddress, c.DoneAt.Sub(c.SentAt))
 		}
 	}
+	for _, id := range h.journal.Altered() {
+		add("own-body: %s arrived with other bytes than its caller sent", id)
+	}
 	h.checkDrain(add)
 	h.checkNotices(add)
 	h.checkRetryBudget(add)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -33,6 +34,7 @@
 	{"backend-reset", backendRelayFault(relay.Faults{Refuse: true})},
 	{"backend-delay", backendRelayFault(relay.Faults{DelayMs: 150})},
 	{"fails", backendModeFault(standin.ModeFail)},
+	{"burst", sendBurst}, {"slows", backendModeFault(standin.ModeSlow)}, {"answers-early", backendModeFault(standin.ModeEarly)},
 	{"hangs", backendModeFault(standin.ModeHang)}, {"sheds", backendModeFault(standin.ModeShed)},
 	{"pauses", backendModeFault(standin.ModePause)}, {"repeats-refusals", backendModeFault(standin.ModeRepeatRefusal)},
 	{"floods-head", backendModeFault(standin.ModeFloodHead)}, {"floods-body", backendModeFault(standin.ModeFloodBody)},
@@ -103,6 +105,26 @@
 	h.startNode(n)
 }
 
+// sendBurst sends burstSize requests at the same time, each on a connection of its own, which fills the queues of the nodes.
+func sendBurst(ctx context.Context, h *harness) {
+	var callers sync.WaitGroup
+	h.mu.Lock()
+	seed := h.rng.Uint64()
+	h.mu.Unlock()
+	for k := range burstSize {
+		callers.Go(func() {
+			c := newCaller(h, k, seed)
+			c.name = fmt.Sprintf("b%x-%d", seed, k)
+			c.refreshEntries(ctx)
+			if len(c.entryAddresses) > 0 {
+				c.sendRequest(ctx, c.name)
+			}
+			c.client.CloseIdleConnections()
+		})
+	}
+	callers.Wait()
+}
+
 func reloadNode(_ context.Context, h *harness) {
 	if n := h.pickNode(); n != nil {
 		h.signal(n, syscall.SIGHUP)
