Write the head of forwarded requests byte for byte

A request in chunks with an empty body was never sent: http.Request.Write refuses it before the first byte, the failure counted against the server, and one request made thousands of attempts.

Change: the exchange writes the request line as the caller sent it, and the length of a buffered body, also if it is empty.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -6,9 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -203,13 +201,9 @@
 
 // writeRequest sends the request and reports whether any byte of it may have left the host.
 func (e *Exchange) writeRequest(s fleet.BackendServer) (bool, error) {
-	out := e.backendRequest(s)
+	head := e.requestHead(s)
 	if e.RemainingBody == nil {
-		var b bytes.Buffer
-		if err := out.Write(&b); err != nil {
-			return false, err
-		}
-		n, err := e.conn.tcp.Write(b.Bytes())
+		n, err := e.conn.tcp.Write(append(head, e.BufferedBody...))
 		return n > 0, err
 	}
 	// The server may respond before it has read a long body, so the body is sent while the response is awaited.
@@ -217,37 +211,11 @@
 	e.upload = u
 	go func() {
 		defer close(u.done)
-		u.err = out.Write(tcp)
+		u.err = e.sendLongBody(tcp, head)
 	}()
 	return true, nil
 }
 
-func (e *Exchange) backendRequest(s fleet.BackendServer) *http.Request {
-	in := e.Request
-	path, query, hasQuery := strings.Cut(in.RequestURI, "?")
-	h := in.Header.Clone()
-	header.RemoveHopByHop(h)
-	h.Set(e.Headers.RequestID, e.RequestID)
-	h.Set(e.Headers.Deadline, strconv.FormatInt(max(time.Until(e.ResponseDeadline).Milliseconds(), 1), 10))
-	if s.Instance != "" {
-		h.Set(e.Headers.ExpectInstance, s.Instance)
-	}
-	if h.Get("User-Agent") == "" {
-		h.Set("User-Agent", "") // prevents net/http from adding its default
-	}
-	out := &http.Request{
-		Method: in.Method, Host: in.Host, Header: h, ContentLength: in.ContentLength,
-		URL: &url.URL{Scheme: "http", Host: s.Address, Opaque: path, RawQuery: query, ForceQuery: hasQuery},
-	}
-	if e.RemainingBody != nil {
-		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(e.BufferedBody), e.RemainingBody))
-	} else if len(e.BufferedBody) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(e.BufferedBody))
-		out.ContentLength = int64(len(e.BufferedBody))
-	}
-	return out
-}
-
 // readResponseHeaders reads the headers of the response to this request and skips late responses to earlier requests.
 func (e *Exchange) readResponseHeaders(s fleet.BackendServer) error {
 	for range maxResponsesRead {
