--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -16,6 +16,10 @@
 	DefaultMaxBalance      = 10.0
 )
 
+// MaxAttempts is the number of attempts of one request after which no further one follows, whatever the failures were.
+// It bounds failures that the budget does not count, such as refused connections.
+const MaxAttempts = 32
+
 // BudgetParams are the parameters of a retry budget.
 type BudgetParams struct {
 	// Deposit is the amount that each first attempt adds to the balance, as a fraction of a retry.
@@ -64,6 +68,8 @@
 	MayHaveRun bool
 	// BodyLost reports whether the request body is no longer available for another attempt.
 	BodyLost bool
+	// Attempts is the number of attempts, including this one.
+	Attempts int
 	// TimeLeft is the time until the deadline, which applies to all attempts together.
 	TimeLeft time.Duration
 	// PossibleRuns is the number of attempts, including this one, that may have run the request.
@@ -90,6 +96,8 @@
 	BodyLost Reason = "body-lost"
 	// DeadlinePassed means that no time is left until the deadline.
 	DeadlinePassed Reason = "deadline-passed"
+	// AttemptsSpent means that the request reached MaxAttempts.
+	AttemptsSpent Reason = "attempts-spent"
 	// RunsSpent means that the number of attempts that may have run the request reached the limit of its route.
 	RunsSpent Reason = "runs-spent"
 	// BudgetSpent means that the balance of the service's retry budget is too low.
@@ -112,6 +120,8 @@
 		return BodyLost
 	case a.MaxPossibleRuns > 0 && a.PossibleRuns >= a.MaxPossibleRuns:
 		return RunsSpent
+	case a.Attempts >= MaxAttempts:
+		return AttemptsSpent
 	case b.Params.UnsentIsFree && !a.Sent || TryWithdraw(b):
 		return Allowed
 	default:
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -69,6 +69,7 @@
 		Sent:            r.Sent,
 		MayHaveRun:      a.Ticket.MayHaveRun,
 		BodyLost:        r.BodyLost,
+		Attempts:        a.Ticket.Attempt + 1,
 		TimeLeft:        left,
 		PossibleRuns:    a.Ticket.PossibleRuns + possibleRuns(r),
 		MaxPossibleRuns: a.Ticket.MaxPossibleRuns,
