--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -33,6 +33,8 @@
 	// Uncompacted is set if the batch holds every record of its range, as a read of the log does. Other batches hold only
 	// the newest record of each key and may omit a removal between two equal values.
 	Uncompacted bool
+	// Incomplete is set if the log held further records that were not read. AsOf is then zero.
+	Incomplete bool
 	// AsOf is a time at which the log held no newer record.
 	AsOf time.Time
 }
--- a/internal/replica/replicacmd/replicacmd.go
+++ b/internal/replica/replicacmd/replicacmd.go
@@ -62,7 +62,9 @@
 	if err != nil {
 		return false, err
 	}
-	batch.AsOf = asOf
+	if !batch.Incomplete && batch.AsOf.IsZero() {
+		batch.AsOf = asOf
+	}
 	return c.Apply(topic, batch, "log"), nil
 }
 
@@ -87,9 +89,11 @@
 func (c *Commands) Apply(topic table.Topic, batch replica.Batch, source string) bool {
 	now := time.Now()
 	var changes replica.Changes
+	var age time.Duration
 	c.Tables.Replicas.Write(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
 		state := r.Topics[topic]
 		changes = replica.Apply(state, batch, c.recordComparison(topic), now)
+		age = replica.Age(state, now)
 		if topic == table.TopicBackendServers {
 			c.updateRegistry(&r.Registry, changes, state.OutageEnd, now)
 		}
@@ -99,7 +103,7 @@
 	}
 	c.Logger.Info().Str("topic", string(topic)).Str("source", source).Int("set", len(changes.Set)).
 		Strs("removed", changes.Removed).Int64("next-offset", batch.Next).
-		Dur("age-ms", now.Sub(batch.AsOf)).Msg("replica of log topic changed")
+		Dur("age-ms", age).Bool("incomplete", batch.Incomplete).Msg("replica of log topic changed")
 	if topic == table.TopicConfiguration {
 		c.applyConfiguration(changes)
 	}
