Send a full copy to replicas that are behind a full batch

A key that was set and removed while a registrar was behind an expired log stayed in other replicas for good, as no delta had its removal; a node would go on using a server that has left. Found by reading in the review, not seen by a caller.

Change: each full batch, not only the first one, sets the offset before which a replica gives no deltas. TestFullBatch failed before.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -144,9 +144,9 @@
 			removeKey(s, key, b.Next-1, c)
 		}
 	}
-	if s.Next == 0 {
-		s.DeltasFrom = b.Next
-	}
+	// A key that was set and removed after the records that the replica had is in neither of them. Another replica may
+	// have it.
+	s.DeltasFrom = max(s.DeltasFrom, b.Next)
 }
 
 // trimTombstones deletes all tombstones if there are too many. Replicas that lag behind get a full copy from then on.
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -148,3 +148,28 @@
 		})
 	}
 }
+
+// Guards against a backend server that is used for good after it has left. A replica that had to read the newest records,
+// because the log had expired, never knew the server, and told another replica that did nothing of its removal.
+func TestFullBatch(t *testing.T) {
+	t.Run("a key that was set and removed in the part that was not read is removed from other replicas", func(t *testing.T) {
+		var behind, current State
+		Apply(&behind, batchOf(record("other", "x", 5)), nil, startTime)
+		Apply(&current, batchOf(record("other", "x", 5), record("k", "y", 12)), nil, startTime)
+		newest := batchOf(record("other", "x", 5))
+		newest.Next, newest.Full, newest.Uncompacted = 20, true, false // k was removed at 15
+		Apply(&behind, newest, nil, startTime)
+		Apply(&current, Delta(&behind, current.Next), nil, startTime)
+		assertValues(t, &current, map[string]string{"other": "x"})
+	})
+	t.Run("a replica that has read on gets only changes", func(t *testing.T) {
+		var s State
+		newest := batchOf(record("other", "x", 5))
+		newest.Next, newest.Full, newest.Uncompacted = 20, true, false
+		Apply(&s, newest, nil, startTime)
+		Apply(&s, batchOf(record("k", "y", 21)), nil, startTime)
+		delta := Delta(&s, 20)
+		is.New(t).True(!delta.Full)
+		is.New(t).Equal(len(delta.Records), 1)
+	})
+}
