Keep connections that are being reset out of the pool

The end of an attempt's context resets its connection, also if the connection has just been returned to the pool, so another request could lose its connection. Found by reading in the review, not seen by a caller.

Change: a connection returns to the pool only if the reset was canceled before it started.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -64,7 +64,7 @@
 	// notice is what the server asked for in the responses read by the last Send.
 	notice serverNotice
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
-	// the reset has already started or was canceled before.
+	// the reset has already started. It is nil if no reset is due.
 	stopAbort func() bool
 }
 
@@ -159,12 +159,23 @@
 		return e.failedResult(ctx, s, stageResponseBody, true, started, err)
 	}
 	// The context of the attempt may end before Deliver runs, which is given another context.
-	if !e.stopAbort() {
+	if !e.cancelAbort() {
 		return e.failedResult(ctx, s, stageResponseBody, true, started, context.Cause(ctx))
 	}
 	return result
 }
 
+// cancelAbort makes the end of the attempt's context have no effect on the connection. It reports false if the context has
+// ended before.
+func (e *Exchange) cancelAbort() bool {
+	if e.stopAbort == nil {
+		return true
+	}
+	stopped := e.stopAbort()
+	e.stopAbort = nil
+	return stopped
+}
+
 func (e *Exchange) connect(ctx context.Context, address string) (*Conn, error) {
 	maxAge := maxIdleDuration
 	if !e.Idempotent {
@@ -388,8 +399,7 @@
 func (e *Exchange) releaseConn() {
 	c := e.conn
 	e.conn = nil
-	e.stopAbort()
-	if e.response.Close || e.upload != nil && !e.upload.complete() {
+	if !e.cancelAbort() || e.response.Close || e.upload != nil && !e.upload.complete() {
 		c.Close()
 		return
 	}
@@ -415,6 +425,6 @@
 	if c == nil {
 		return
 	}
-	e.stopAbort()
+	e.cancelAbort()
 	c.Abort()
 }
