Name the full-duplex request of a handler after its package

The variable was named exchange, like the exchange with the backend server in the same function. No change of behavior; the tests of both packages pass.

--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -101,9 +101,9 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	exchange := fullduplex.New(w, r)
-	defer exchange.End()
-	w, r = exchange.Writer, exchange.Request
+	duplex := fullduplex.New(w, r)
+	defer duplex.End()
+	w, r = duplex.Writer, duplex.Request
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -93,9 +93,9 @@
 }
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request, req request) {
-	exchange := fullduplex.New(w, r)
-	defer exchange.End()
-	w, r = exchange.Writer, exchange.Request
+	duplex := fullduplex.New(w, r)
+	defer duplex.End()
+	w, r = duplex.Writer, duplex.Request
 	if r.URL.Path == pathEntries && r.Method == http.MethodGet {
 		h.serveEntries(w, r, req)
 		return
