Let nodes start from their peers after an hour without the log

A node that started more than an hour after the log had become unreachable never was ready, although its peers sent it their replicas: an age of an hour or more stood for a replica that was never complete.

Change: the node asks whether the replica was complete at any time. TestLongOutage failed before with three hours.

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -241,11 +241,11 @@
 // needsLogRead reports whether the node has to read the log itself, because its replicas are too old or were never
 // complete.
 func (n *Node) needsLogRead(started, now time.Time) bool {
-	age := max(n.Replicas.Age(table.TopicConfiguration, now), n.Replicas.Age(table.TopicBackendServers, now))
-	if age > time.Hour { // no complete replica yet
+	if !n.Replicas.IsComplete(table.TopicConfiguration) || !n.Replicas.IsComplete(table.TopicBackendServers) {
 		return now.Sub(started) > initialReadDelay || len(*n.seeds.Load()) == 0 || n.seedIndex() >= 0 ||
 			n.wasEntryHost.Load()
 	}
+	age := max(n.Replicas.Age(table.TopicConfiguration, now), n.Replicas.Age(table.TopicBackendServers, now))
 	return age > n.logReadAge()+n.readJitter
 }
 
@@ -376,7 +376,7 @@
 		return
 	}
 	n.health.Sync(time.Now(), c)
-	if _, ready := n.Roster.Self(); !ready && n.Replicas.Age(table.TopicBackendServers, time.Now()) < time.Hour {
+	if _, ready := n.Roster.Self(); !ready && n.Replicas.IsComplete(table.TopicBackendServers) {
 		n.rosterCommands.SetReady(true)
 		close(n.firstReady)
 		n.Logger.Info().Int64("revision", c.Revision).Msg("node is ready")
--- a/internal/node/entrynode/restart_test.go
+++ b/internal/node/entrynode/restart_test.go
@@ -133,3 +133,31 @@
 		})
 	}
 }
+
+// TestLongOutage guards against a node that starts during a long outage of the log and never becomes ready, although the
+// other nodes send it their replicas.
+func TestLongOutage(t *testing.T) {
+	for name, age := range map[string]time.Duration{"seconds": 5 * time.Second, "three hours": 3 * time.Hour} {
+		t.Run("a node is ready with replicas that were complete before "+name, func(t *testing.T) {
+			is := is.New(t)
+			n := newNode(t)
+			now := time.Now()
+			for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
+				b := replica.Batch{Full: true, Next: 1, AsOf: now.Add(-age)}
+				if topic == table.TopicConfiguration {
+					b.Records = []replica.Record{{Key: "config", Value: []byte("x")}}
+				}
+				message := peerapi.BatchMessage(b, now)
+				n.replicaCommands.Apply(topic, message.ReplicaBatch(now), "peer")
+			}
+			n.applyConfiguration()
+			is.True(n.Ready())
+			is.True(n.needsLogRead(now, now)) // and keeps trying to read the log
+		})
+	}
+	t.Run("a node without replicas is not ready", func(t *testing.T) {
+		n := newNode(t)
+		n.applyConfiguration()
+		is.New(t).True(!n.Ready())
+	})
+}
--- a/internal/replica/replicaquery/replicaquery.go
+++ b/internal/replica/replicaquery/replicaquery.go
@@ -41,6 +41,12 @@
 	return age
 }
 
+// IsComplete reports whether the replica of the topic was complete at any time.
+func (q *Queries) IsComplete(topic table.Topic) (complete bool) {
+	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) { complete = !r.Topics[topic].AsOf.IsZero() })
+	return complete
+}
+
 // Records returns the replicated records of the topic.
 func (q *Queries) Records(topic table.Topic) (records []replica.Record) {
 	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
