--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,10 +17,15 @@
 	virtualHost = "shop.example"
 	// requestTimeout is how long a caller waits for a response.
 	requestTimeout = 3 * time.Second
+	// burstTimeout is how long a caller in a burst waits. It is longer than the grace period of a node.
+	burstTimeout = 9 * time.Second
 	// longBodyBytes is the length of a request body of which nodes keep only the start, and longBodyFraction the fraction
 	// of the bookings that have one.
 	longBodyBytes    = 200 << 10
-	longBodyFraction = 0.1
+	longBodyFraction = 0.3
+	// pieceBytes and pieceInterval describe how callers send a body, as on a slow link.
+	pieceBytes    = 4 << 10
+	pieceInterval = 2 * time.Millisecond
 )
 
 // call is one request of a caller and its outcome.
@@ -31,6 +35,8 @@
 	NodeAddress string
 	SentAt      time.Time
 	DoneAt      time.Time
+	// Timeout is how long the caller waited at most.
+	Timeout time.Duration
 	// Status is the status code of the response, or zero if the connection ended before a complete response.
 	Status int
 	// ResponseMatches is true if the response is complete and is the backend server's response to this request.
@@ -74,6 +80,10 @@
 	name    string
 	rng     *rand.Rand
 	client  *http.Client
+	// timeout is how long the caller waits for a response.
+	timeout time.Duration
+	// bookingPath is the path of the requests that must not run twice.
+	bookingPath string
 	// entryAddresses are the addresses in the last response of the directory, cached until entriesExpireAt.
 	entryAddresses  []string
 	entriesExpireAt time.Time
@@ -81,7 +91,7 @@
 
 func newCaller(h *harness, k int, seed uint64) *caller {
 	return &caller{
-		harness: h, name: fmt.Sprintf("c%d", k), rng: rand.New(rand.NewPCG(seed, uint64(k)+2)),
+		harness: h, name: fmt.Sprintf("c%d", k), timeout: requestTimeout, bookingPath: "/book/x", rng: rand.New(rand.NewPCG(seed, uint64(k)+2)),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 	}
 }
@@ -136,8 +146,8 @@
 
 // sendRequest sends a random kind of request and records its outcome.
 func (c *caller) sendRequest(ctx context.Context, id string) {
-	result := call{ID: id, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Path: "/book/x",
-		Idempotent: false}
+	result := call{ID: id, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Path: c.bookingPath,
+		Idempotent: false, Timeout: c.timeout}
 	method, bodyBytes := http.MethodPost, 40
 	if c.rng.Float64() < longBodyFraction {
 		bodyBytes = longBodyBytes
@@ -146,11 +156,13 @@
 		result.Path, result.Idempotent, method, bodyBytes = []string{"/view/x", "/bulk/x"}[c.rng.IntN(2)], true, http.MethodGet, 0
 	}
 	body := standin.RequestBody(id, bodyBytes)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 	defer cancel()
+	ticker := time.NewTicker(pieceInterval)
+	defer ticker.Stop()
 	// net/http retries a request on a new connection if it can rewind the body; NopCloser hides GetBody to prevent that.
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+result.NodeAddress+result.Path,
-		io.NopCloser(bytes.NewBufferString(body)))
+		io.NopCloser(&pacedReader{rest: body, ticker: ticker}))
 	if err != nil {
 		return
 	}
@@ -160,13 +172,29 @@
 	}
 	r.Host = virtualHost
 	r.Header.Set(standin.HeaderRequestID, id)
-	r.Header.Set(standin.HeaderDeadline, fmt.Sprint(requestTimeout.Milliseconds()))
+	r.Header.Set(standin.HeaderDeadline, fmt.Sprint(c.timeout.Milliseconds()))
 	result.SentAt = time.Now()
 	c.doRequest(r, &result)
 	result.DoneAt = time.Now()
 	c.harness.calls.record(result)
 }
 
+// pacedReader returns a text in pieces, one for each tick.
+type pacedReader struct {
+	rest   string
+	ticker *time.Ticker
+}
+
+func (p *pacedReader) Read(b []byte) (int, error) {
+	if p.rest == "" {
+		return 0, io.EOF
+	}
+	<-p.ticker.C
+	n := copy(b[:min(len(b), pieceBytes)], p.rest)
+	p.rest = p.rest[n:]
+	return n, nil
+}
+
 // doRequest executes the request and stores the outcome in result.
 func (c *caller) doRequest(r *http.Request, result *call) {
 	response, err := c.client.Do(r)
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -62,7 +62,7 @@
 
 // cutByGracefulStop reports whether a graceful stop cut the call: its node got SIGTERM before the call ended and at most
 // 2 s before it was sent, which leaves time to respond within the grace period, and had no other fault. Calls that ended
-// within 200 ms are taken for refused connections, calls that took almost requestTimeout for timeouts of the caller.
+// within 200 ms are taken for refused connections, calls that took almost their timeout for timeouts of the caller.
 func (h *harness) cutByGracefulStop(c call) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -72,7 +72,7 @@
 		}
 		for _, r := range n.runs {
 			duringStop := !r.sigtermAt.IsZero() && c.SentAt.Before(r.sigtermAt.Add(2*time.Second)) && c.DoneAt.After(r.sigtermAt)
-			if duringStop && !r.disrupted && c.DoneAt.Sub(c.SentAt) < requestTimeout-100*time.Millisecond &&
+			if duringStop && !r.disrupted && c.DoneAt.Sub(c.SentAt) < c.Timeout-100*time.Millisecond &&
 				c.DoneAt.Sub(c.SentAt) > 200*time.Millisecond {
 				return true
 			}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,7 +34,7 @@
 	{"backend-reset", backendRelayFault(relay.Faults{Refuse: true})},
 	{"backend-delay", backendRelayFault(relay.Faults{DelayMs: 150})},
 	{"fails", backendModeFault(standin.ModeFail)},
-	{"burst", sendBurst}, {"slows", backendModeFault(standin.ModeSlow)}, {"answers-early", backendModeFault(standin.ModeEarly)},
+	{"burst", sendBurst}, {"term-under-load", stopNodeUnderLoad}, {"slows", backendModeFault(standin.ModeSlow)}, {"answers-early", backendModeFault(standin.ModeEarly)},
 	{"hangs", backendModeFault(standin.ModeHang)}, {"sheds", backendModeFault(standin.ModeShed)},
 	{"pauses", backendModeFault(standin.ModePause)}, {"repeats-refusals", backendModeFault(standin.ModeRepeatRefusal)},
 	{"floods-head", backendModeFault(standin.ModeFloodHead)}, {"floods-body", backendModeFault(standin.ModeFloodBody)},
@@ -114,6 +114,7 @@
 	for k := range burstSize {
 		callers.Go(func() {
 			c := newCaller(h, k, seed)
+			c.timeout, c.bookingPath = burstTimeout, "/slow/x"
 			c.name = fmt.Sprintf("b%x-%d", seed, k)
 			c.refreshEntries(ctx)
 			if len(c.entryAddresses) > 0 {
@@ -125,6 +126,25 @@
 	callers.Wait()
 }
 
+// stopNodeUnderLoad stops a node while requests wait in its queues: all backend servers are slow, and a burst arrives.
+func stopNodeUnderLoad(ctx context.Context, h *harness) {
+	h.setModeOfAll(standin.ModeSlow)
+	var burst sync.WaitGroup
+	burst.Go(func() { sendBurst(ctx, h) })
+	h.sleepRandom(ctx, time.Second)
+	stopNode(ctx, h, 0)
+	h.setModeOfAll(standin.ModeNormal)
+	burst.Wait()
+}
+
+func (h *harness) setModeOfAll(m standin.Mode) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.backends {
+		b.SetMode(m)
+	}
+}
+
 func reloadNode(_ context.Context, h *harness) {
 	if n := h.pickNode(); n != nil {
 		h.signal(n, syscall.SIGHUP)
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -212,6 +212,7 @@
 	h.mu.Unlock()
 	routes := []standin.Route{
 		{Name: "book", Prefix: "/book/", Kind: "unsafe", Service: deskService, Priority: 0},
+		{Name: "slow", Prefix: "/slow/", Kind: "unsafe", Service: deskService, Priority: 0, Timeout: burstTimeout},
 		{Name: "view", Prefix: "/view/", Kind: "safe", Service: viewService, Priority: 1},
 		{Name: "bulk", Prefix: "/bulk/", Kind: "download", Service: viewService, Priority: 2},
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,7 +30,7 @@
 	assessmentDuration = 2 * time.Second
 	callerCount        = 10
 	// burstSize is the number of requests in a burst.
-	burstSize = 150
+	burstSize = 300
 	// faultStreamCount is the number of sequences of faults that run concurrently.
 	faultStreamCount = 3
 	// minSuccessFraction is the fraction of calls that must succeed after the recovery.
