Use one dispatcher and one request body in the tests of uploads

The tests of early answers repeated a dispatcher of the same package and a body of the test server; two comments of the admission decisions were not wrapped. No change of behavior; the tests pass.

--- a/internal/http/fullduplex/fullduplex_test.go
+++ b/internal/http/fullduplex/fullduplex_test.go
@@ -13,21 +13,11 @@
 	"testing"
 
 	"github.com/matryer/is"
-)
 
-const (
-	pieceBytes = 4 << 10
-	pieces     = 50
+	"egretline.example/egretline/test/earlyserver"
 )
 
-// testBody returns a body in which each piece has other bytes than the others.
-func testBody() []byte {
-	var b bytes.Buffer
-	for k := range pieces {
-		b.Write(bytes.Repeat([]byte{byte('0' + k)}, pieceBytes))
-	}
-	return b.Bytes()
-}
+const pieceBytes = 4 << 10
 
 // upload is a handler that reads the body on another goroutine and responds once it has read the first piece.
 type upload struct {
@@ -97,7 +87,7 @@
 // assertPrefix fails unless the bytes that were read are the start of the body.
 func assertPrefix(t *testing.T, read []byte) {
 	t.Helper()
-	is.New(t).True(bytes.HasPrefix(testBody(), read))
+	is.New(t).True(bytes.HasPrefix(earlyserver.Body(), read))
 }
 
 // TestEarlyResponse guards against a server that drops pieces of a request body which another goroutine is reading, and
@@ -107,9 +97,9 @@
 		t.Run(name+" response arrives before the rest of the body is sent", func(t *testing.T) {
 			u := newUpload(responseBytes)
 			c := newCaller(t, u, "Content-Length: 204800")
-			c.send(t, string(testBody()[:pieceBytes]))
+			c.send(t, string(earlyserver.Body()[:pieceBytes]))
 			is.New(t).True(c.assertResponse(t, u.Response))
-			_, _ = c.Write(testBody()[pieceBytes:]) // the connection may be closed by now
+			_, _ = c.Write(earlyserver.Body()[pieceBytes:]) // the connection may be closed by now
 			read := <-u.Read
 			assertPrefix(t, read)
 			is.New(t).True(u.Err != nil)
@@ -122,7 +112,7 @@
 			sent := make(chan struct{})
 			go func() {
 				defer close(sent)
-				for piece := range slices.Chunk(testBody(), pieceBytes) {
+				for piece := range slices.Chunk(earlyserver.Body(), pieceBytes) {
 					_, _ = c.Write(piece)
 				}
 			}()
@@ -140,7 +130,7 @@
 				if name == "chunks" {
 					c.send(t, "1000\r\n")
 				}
-				c.send(t, string(testBody()[:pieceBytes]))
+				c.send(t, string(earlyserver.Body()[:pieceBytes]))
 				is.New(t).True(c.assertResponse(t, u.Response))
 				_, _ = io.WriteString(c, "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n")
 				rest, _ := io.ReadAll(c.reader)
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -61,9 +61,8 @@
 }
 
 // Offer queues the item, or returns a RefusedError if the item cannot meet its deadline, cannot be answered before the
-// node stops, or the rank is full. In a full
-// rank, an item of a tenant with fewer waiting requests displaces the newest item of the tenant with the most. The
-// displaced item, which was never dispatched, is returned.
+// node stops, or the rank is full. In a full rank, an item of a tenant with fewer waiting requests displaces the newest
+// item of the tenant with the most. The displaced item, which was never dispatched, is returned.
 func Offer[T any](q *Queue[T], i Item[T], now time.Time) ([]Item[T], error) {
 	ensureRank(q, i.Rank)
 	r := &q.Ranks[i.Rank]
@@ -200,9 +199,9 @@
 	return min(d, i.Deadline.Sub(i.Arrived)/2)
 }
 
-// isLate reports whether the item cannot meet its deadline or be answered before the node stops. An item that waits alone is dispatched if it has more than
-// the mean service time left, because its slot would otherwise stay unused; with less time left its outcome would most
-// likely be unknown.
+// isLate reports whether the item cannot meet its deadline or be answered before the node stops. An item that waits alone
+// is dispatched if it has more than the mean service time left, because its slot would otherwise stay unused; with less
+// time left its outcome would most likely be unknown.
 func isLate[T any](q *Queue[T], i Item[T], now time.Time) bool {
 	left := i.Deadline.Sub(now)
 	if left <= capAtHalfTimeout(i, q.Ranks[i.Rank].ServiceTime.Mean) || !fitsBeforeStop(q, i, 0, now) {
--- a/service/caller/keyed_test.go
+++ b/service/caller/keyed_test.go
@@ -22,11 +22,11 @@
 )
 
 // directDispatcher sends each request to the same backend server without queueing it.
-type directDispatcher struct{}
+type directDispatcher struct{ Address string }
 
-func (directDispatcher) Admit(_ time.Time, t *table.Ticket) error {
+func (d directDispatcher) Admit(_ time.Time, t *table.Ticket) error {
 	go func() {
-		r := t.Runner.Send(t.Context, fleet.BackendServer{Address: "backend:80"})
+		r := t.Runner.Send(t.Context, fleet.BackendServer{Address: d.Address})
 		if r.Response {
 			r = t.Runner.Deliver(t.Context)
 		} else {
@@ -68,7 +68,7 @@
 	tables := table.New(fleet.Host{ID: "h"}, "i")
 	members := &memberquery.Queries{Tables: tables}
 	h = &Handler{
-		Dispatcher: directDispatcher{}, KeyOwners: members, Keys: &keycmd.Commands{Tables: tables}, Groups: members, Transport: b,
+		Dispatcher: directDispatcher{Address: "backend:80"}, KeyOwners: members, Keys: &keycmd.Commands{Tables: tables}, Groups: members, Transport: b,
 		Log: zerolog.Nop(),
 	}
 	return h, members.KeyPrefix(time.Now())
--- a/service/caller/upload_test.go
+++ b/service/caller/upload_test.go
@@ -11,33 +11,12 @@
 
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/memberquery"
-	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/service/api"
 	"egretline.example/egretline/service/backend"
 	"egretline.example/egretline/service/peer"
 	"egretline.example/egretline/test/earlyserver"
 )
 
-// serverDispatcher sends each request at once to one backend server.
-type serverDispatcher struct {
-	directDispatcher
-	Address string
-}
-
-func (d serverDispatcher) Admit(_ time.Time, t *table.Ticket) error {
-	go func() {
-		r := t.Runner.Send(t.Context, fleet.BackendServer{Address: d.Address})
-		if r.Response {
-			r = t.Runner.Deliver(t.Context)
-		} else {
-			t.Runner.Discard()
-			r.Outcome = fleet.Unknown
-		}
-		t.Done <- r
-	}()
-	return nil
-}
-
 // fixedGroups has this node serve all services, or the target if there is one.
 type fixedGroups struct{ Target fleet.Host }
 
@@ -66,7 +45,7 @@
 
 func newUploadHandler(g Groups, address string) *Handler {
 	return &Handler{
-		Config: uploadConfig{}, Dispatcher: serverDispatcher{Address: address}, Groups: g,
+		Config: uploadConfig{}, Dispatcher: directDispatcher{Address: address}, Groups: g,
 		Forwarder: peer.NewForwarder("self", peer.NewTransport(nil), discardContacts{}, 2),
 		Transport: backend.NewTransport(), Log: zerolog.Nop(),
 	}
