Bound what the soak's callers keep of a response

The harness was at fault, no node.

Change: callers keep 64 KB of a response and drop the rest, for as long as before.

--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -23,6 +23,8 @@
 	// of the bookings that have one.
 	longBodyBytes    = 200 << 10
 	longBodyFraction = 0.3
+	// maxKeptResponseBytes is longer than any response of a sound server.
+	maxKeptResponseBytes = 64 << 10
 	// pieceBytes and pieceInterval describe how callers send a body, as on a slow link.
 	pieceBytes    = 4 << 10
 	pieceInterval = 2 * time.Millisecond
@@ -207,10 +209,14 @@
 	if response.Header.Get(standin.HeaderLeaving) != "" {
 		result.LeavingServer = response.Header.Get(standin.HeaderSignature)
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxKeptResponseBytes))
 	if err != nil {
 		return
 	}
+	// A flooding server sends a body without end.
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return
+	}
 	result.Status = response.StatusCode
 	result.ResponseMatches = response.Header.Get(standin.HeaderSignature) != "" && string(body) == standin.ResponseBody(result.ID) &&
 		response.Header.Get(standin.HeaderRequestID) == result.ID
