--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -43,6 +43,8 @@
 	Status int
 	// ResponseMatches is true if the response is complete and is the backend server's response to this request.
 	ResponseMatches bool
+	// Flooded is true if the response was longer than any of a sound server.
+	Flooded bool
 	// HeadersReceived is true if response headers arrived from the node.
 	HeadersReceived bool
 	// LeavingServer is the backend server that said in the response that it is leaving.
@@ -213,7 +215,7 @@
 	if err != nil {
 		return
 	}
-	// A flooding server sends a body without end.
+	result.Flooded = len(body) == maxKeptResponseBytes
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return
 	}
