Identify customers by their keys on the users' platform

The front end finds the customer by the key, answers 401 for an unknown one, or 503 if its configuration is too old to know, drops the key and sets the customer's name. A customer's priority replaces that of the route. CustomerLimiter is the interface for the quota of the fleet, and entry hosts get a periodic report to each other, without sections yet.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -47,6 +47,10 @@
 	RemainingBody io.Reader
 	Writer        http.ResponseWriter
 	RequestID     string
+	// Customer is the name that is sent to the backend server; empty if the caller's key is not known or not needed.
+	Customer string
+	// DropCredentials reports whether the caller's key is left out, because it is meant for the node alone.
+	DropCredentials bool
 	// HasCallerLeft reports whether the caller has closed its connection. It is nil if the context of an attempt ends then.
 	HasCallerLeft func() bool
 	// Idempotent reports whether the request may run more than once.
@@ -93,7 +97,8 @@
 	}
 	return &Exchange{
 		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Writer: e.Writer,
-		RequestID: e.RequestID, Idempotent: e.Idempotent, ResponseDeadline: e.ResponseDeadline,
+		RequestID: e.RequestID, Customer: e.Customer, DropCredentials: e.DropCredentials, Idempotent: e.Idempotent,
+		ResponseDeadline: e.ResponseDeadline,
 	}
 }
 
--- a/internal/backend/http1/request.go
+++ b/internal/backend/http1/request.go
@@ -14,6 +14,9 @@
 	"egretline.example/egretline/service/header"
 )
 
+// headerAuthorization carries the key of a customer.
+const headerAuthorization = "Authorization"
+
 // framingHeaders are written by requestHead, or are left out because trailers are not forwarded.
 var framingHeaders = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
 
@@ -23,6 +26,13 @@
 	in := e.Request
 	h := in.Header.Clone()
 	header.RemoveHopByHop(h)
+	h.Del(e.Headers.Customer)
+	if e.Customer != "" {
+		h.Set(e.Headers.Customer, e.Customer)
+	}
+	if e.DropCredentials {
+		h.Del(headerAuthorization)
+	}
 	h.Set(e.Headers.RequestID, e.RequestID)
 	h.Set(e.Headers.Deadline, strconv.FormatInt(max(time.Until(e.ResponseDeadline).Milliseconds(), 1), 10))
 	if s.Instance != "" {
--- a/internal/front/hostfront/errors.go
+++ b/internal/front/hostfront/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // NotReadyError reports a request that arrived before the node had a configuration.
@@ -26,6 +27,38 @@
 // HTTPStatus returns 404.
 func (NoRouteError) HTTPStatus() int { return http.StatusNotFound }
 
+// UnauthorizedError reports a request without the key of a customer.
+type UnauthorizedError struct{}
+
+func (UnauthorizedError) Error() string { return "the key is missing or unknown" }
+
+// HTTPStatus returns 401.
+func (UnauthorizedError) HTTPStatus() int { return http.StatusUnauthorized }
+
+// StaleConfigurationError reports a key that is unknown to a node whose configuration may be out of date.
+type StaleConfigurationError struct{ Age time.Duration }
+
+func (e StaleConfigurationError) Error() string {
+	return fmt.Sprintf("the key is unknown, and the configuration of the node is %s old", e.Age)
+}
+
+// HTTPStatus returns 503.
+func (StaleConfigurationError) HTTPStatus() int { return http.StatusServiceUnavailable }
+
+// QuotaError reports a request beyond the limit of its customer for the whole fleet. It was not queued.
+type QuotaError struct {
+	Customer string
+	// RetryAfter is the delay after which a request will be within the limit.
+	RetryAfter time.Duration
+}
+
+func (e QuotaError) Error() string {
+	return fmt.Sprintf("customer %s has reached its limit for the fleet; retry after %s", e.Customer, e.RetryAfter)
+}
+
+// HTTPStatus returns 429.
+func (QuotaError) HTTPStatus() int { return http.StatusTooManyRequests }
+
 // HeaderError reports a request header that is missing or malformed.
 type HeaderError struct {
 	Name  string
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -76,6 +76,10 @@
 	MaxBodyBytes int64
 	// RegistryAge returns the age of the node's replica of the backend server registry, for the log.
 	RegistryAge func() time.Duration
+	// ConfigurationAge returns the age of the node's configuration.
+	ConfigurationAge func() time.Duration
+	// Limiter limits the requests of each customer; nil if customers have no limits.
+	Limiter CustomerLimiter
 	// StartupDone is closed once the node has a configuration and the registry of backend servers.
 	StartupDone <-chan struct{}
 	// Leaving reports whether the node is shutting down and callers should not reuse their connections.
@@ -85,9 +89,17 @@
 
 // request is a caller's request with the route and the deadlines that apply to it.
 type request struct {
-	ID        string
-	Route     fleet.Route
-	Service   string
+	ID      string
+	Route   fleet.Route
+	Service string
+	// Customer is the customer whose key the request has; its name is empty without a key.
+	Customer fleet.Tenant
+	// DropCredentials reports whether the key is not passed on.
+	DropCredentials bool
+	// QuotaTaken reports whether the request was counted against the quota of its customer.
+	QuotaTaken bool
+	// Rank is the name of the rank that applies, and RankIndex its index in the configuration.
+	Rank      string
 	RankIndex int
 	// ConfigRevision is the revision of the configuration that the route comes from.
 	ConfigRevision int64
@@ -134,7 +146,11 @@
 	if !found {
 		return req, NoRouteError{Host: r.Host, Path: path}
 	}
-	req.RankIndex = max(0, slices.IndexFunc(c.Ranks, func(rank fleet.Rank) bool { return rank.Name == req.Route.Rank }))
+	req.Rank = req.Route.Rank
+	if err := h.identifyCustomer(r, c, &req); err != nil {
+		return req, err
+	}
+	req.RankIndex = max(0, slices.IndexFunc(c.Ranks, func(rank fleet.Rank) bool { return rank.Name == req.Rank }))
 	timeout, err := h.callerTimeout(r)
 	if err != nil {
 		return req, err
@@ -144,6 +160,9 @@
 	if req.Route.Timeout > 0 && req.Route.Timeout < timeout {
 		req.ResponseDeadline = req.Arrived.Add(req.Route.Timeout)
 	}
+	if err := h.takeQuota(&req); err != nil {
+		return req, err
+	}
 	if err := h.bufferBody(r, &req); err != nil {
 		return req, err
 	}
@@ -213,7 +232,8 @@
 	defer cancel()
 	runner := &http1.Exchange{
 		Pool: h.Pool, Gate: h.Gate, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
-		RemainingBody: req.RemainingBody, Writer: w, RequestID: req.ID, Idempotent: req.Route.Idempotent,
+		RemainingBody: req.RemainingBody, Writer: w, RequestID: req.ID, Customer: req.Customer.Name,
+		DropCredentials: req.DropCredentials, Idempotent: req.Route.Idempotent,
 		ResponseDeadline: req.ResponseDeadline,
 	}
 	if req.RemainingBody != nil {
@@ -221,7 +241,7 @@
 		runner.HasCallerLeft = func() bool { return callerconn.IsClosed(r.Context()) }
 	}
 	t := &table.Ticket{
-		ID: req.ID, Service: req.Service, Route: req.Route.Name, Rank: req.RankIndex,
+		ID: req.ID, Service: req.Service, Route: req.Route.Name, Rank: req.RankIndex, Tenant: req.Customer.Name,
 		Idempotent: req.Route.Idempotent, Bulk: req.Route.LargeResponses, MaxPossibleRuns: req.Route.MaxRuns,
 		BackupDelay: backupDelay(req), Arrived: req.Arrived, Deadline: req.ResponseDeadline,
 		TargetLatency: req.Route.TargetLatency, Context: ctx,
@@ -266,9 +286,10 @@
 	if !result.Response {
 		status = refusalStatus(req, result)
 	}
+	h.giveBackQuota(req, result.Outcome)
 	h.logResult(req, result, status)
 	h.Traffic.Record(trafficcmd.Observation{
-		Class:   table.TrafficClass{Service: req.Service, Rank: req.Route.Rank},
+		Class:   table.TrafficClass{Service: req.Service, Rank: req.Rank},
 		Outcome: result.Outcome, Latency: time.Since(req.Arrived),
 	})
 	if result.Aborted {
@@ -286,8 +307,14 @@
 	}
 	header.Set(h.Headers.RequestID, req.ID)
 	header.Set("Content-Type", "application/json")
-	if status == http.StatusServiceUnavailable {
+	var overQuota QuotaError
+	switch {
+	case errors.As(result.Err, &overQuota):
+		header.Set("Retry-After", formatRetryAfter(overQuota.RetryAfter))
+	case status == http.StatusServiceUnavailable:
 		header.Set("Retry-After", formatRetryAfter(result.RetryAfter))
+	case status == http.StatusUnauthorized:
+		header.Set("WWW-Authenticate", strings.TrimSpace(bearerPrefix))
 	}
 	w.WriteHeader(status)
 	refusal := api.Refusal{Outcome: string(result.Outcome), Reason: errorText(result.Err), RequestID: req.ID}
@@ -341,6 +368,7 @@
 	event.Str("request-id", req.ID).
 		Str("route", req.Route.Name).
 		Str("service", req.Service).
+		Str("customer", req.Customer.Name).
 		Int64("revision", req.ConfigRevision).
 		Dur("registry-age-ms", h.RegistryAge()).
 		Str("outcome", string(result.Outcome)).
--- a/internal/http/dialect/dialect.go
+++ b/internal/http/dialect/dialect.go
@@ -12,6 +12,8 @@
 	ExpectInstance string
 	// NotExecuted marks a response of a backend server that did not run the request.
 	NotExecuted string
+	// Customer carries the name of the customer to backend servers. Only nodes set it.
+	Customer string
 	// Leaving is set to LeavingValue in all responses of a backend server that is leaving.
 	Leaving string
 	// Signature marks a response of a backend server that ran the request.
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -126,6 +126,8 @@
 	cancelPeerCalls context.CancelFunc
 	syncPool        *pool.Pool[fleet.Host]
 	evidencePool    *pool.Pool[evidenceMessage]
+	reportPool      *pool.Pool[reportMessage]
+	reports         reportExchange
 	// hostListDigests and hostLists hold the digest and the content of the last host list of each registrar.
 	hostListDigests lastByHost[uint64]
 	hostLists       lastByHost[[]rostercmd.Announcement]
@@ -179,15 +181,18 @@
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.syncPool = pool.New("sync", syncWorkers, syncWorkers, n.sync)
 	n.evidencePool = pool.New("tell", gossipWorkers, gossipQueueLength, n.sendEvidence)
+	n.reportPool = pool.New("report", reportWorkers, reportQueueLength, n.sendReport)
 	front := &hostfront.Handler{
 		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns,
 		Gate: &healthquery.Queries{Tables: t}, Headers: o.Headers,
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
-		RegistryAge: func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
-		Leaving:     n.leaving.Load, Log: logger,
+		RegistryAge:      func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
+		ConfigurationAge: func() time.Duration { return n.Replicas.Age(table.TopicConfiguration, time.Now()) },
+		Leaving:          n.leaving.Load, Log: logger,
 	}
 	peer := &peerserver.Server{
-		RosterCommands: n.rosterCommands, Roster: n.Roster, Replicas: n.Replicas, Health: n.health, Logger: logger,
+		RosterCommands: n.rosterCommands, Roster: n.Roster, Replicas: n.Replicas, Health: n.health, Reports: &n.reports,
+		Logger: logger,
 	}
 	for _, l := range []Listener{
 		{Name: callerListener, Address: o.Self.CallerAddress, Handler: front},
@@ -236,6 +241,7 @@
 	var done sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		n.syncLoop, n.logReadLoop, n.sweepLoop, n.gossipLoop, n.announceLoop, n.restartContactLoop,
+		n.reportLoop,
 	} {
 		done.Go(func() { loop(background) })
 	}
@@ -255,6 +261,7 @@
 	n.closeServers()
 	n.syncPool.Close()
 	n.evidencePool.Close()
+	n.reportPool.Close()
 	n.Logger.Info().Msg("node has stopped")
 	return err
 }
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -16,6 +16,7 @@
 const (
 	PathSync     = "/peer/sync"
 	PathEvidence = "/peer/evidence"
+	PathReport   = "/peer/report"
 )
 
 // Host is the wire format of a host.
@@ -76,6 +77,19 @@
 	Leaving   []ServerEvidence `json:"leaving,omitempty"`
 }
 
+// Report tells another entry host periodically what it needs for decisions that entry hosts make together. Sections that
+// are nil are not reported. A report that is lost is not repeated: the next one supersedes it.
+type Report struct {
+	From Host `json:"from"`
+	// Incarnation identifies the run of the sender's process, and Sequence orders the reports of one run.
+	Incarnation int64  `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	// Customers reports what customers used of their quotas at the sender.
+	Customers *CustomerUsage `json:"customers,omitempty"`
+	// Load reports the demand and the free capacity that the sender sees, by service.
+	Load *ServiceLoads `json:"load,omitempty"`
+}
+
 // ServerEvidence is a failure, a recovery or the leaving of a backend server.
 type ServerEvidence struct {
 	Service  string `json:"service"`
--- a/internal/peer/peerclient/peerclient.go
+++ b/internal/peer/peerclient/peerclient.go
@@ -65,6 +65,12 @@
 	return err
 }
 
+// SendReport sends a periodic report to the node at the address.
+func (c *Client) SendReport(ctx context.Context, address string, m peerapi.Report) error {
+	_, err := c.post(ctx, address, peerapi.PathReport, m)
+	return err
+}
+
 func (c *Client) post(ctx context.Context, address, path string, m any) ([]byte, error) {
 	body, err := json.Marshal(m)
 	if err != nil {
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -34,12 +34,18 @@
 	ObservePeerLeaving(now time.Time, service string, run notice.Run)
 }
 
+// ReportObserver takes the sections of periodic reports from other entry hosts.
+type ReportObserver interface {
+	ObserveReport(now time.Time, m peerapi.Report)
+}
+
 // Server responds to other nodes from the tables of this node.
 type Server struct {
 	RosterCommands *rostercmd.Commands
 	Roster         *rosterquery.Queries
 	Replicas       *replicaquery.Queries
 	Health         EvidenceObserver
+	Reports        ReportObserver
 	Logger         zerolog.Logger
 }
 
@@ -48,6 +54,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+peerapi.PathSync, s.handleSync)
 	mux.HandleFunc("POST "+peerapi.PathEvidence, s.handleEvidence)
+	mux.HandleFunc("POST "+peerapi.PathReport, s.handleReport)
 	return mux
 }
 
@@ -122,6 +129,17 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+func (s *Server) handleReport(w http.ResponseWriter, r *http.Request) {
+	var m peerapi.Report
+	if !s.decodeMessage(w, r, &m) || !s.checkSender(w, m.From) {
+		return
+	}
+	now := time.Now()
+	s.RosterCommands.RecordContact(now, m.From.Announcement())
+	s.Reports.ObserveReport(now, m)
+	w.WriteHeader(http.StatusOK)
+}
+
 func addresses(list []peerapi.ServerEvidence) []string {
 	out := make([]string, len(list))
 	for i, e := range list {
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -73,6 +73,8 @@
 	Method     string
 	PathPrefix string
 	Rank       string
+	// Anonymous reports whether the route serves requests without a customer's key.
+	Anonymous  bool
 	Idempotent bool
 	// LargeResponses reports whether responses are large. The availability zone of the backend server then matters.
 	LargeResponses bool
@@ -116,6 +118,16 @@
 	// Services lists the names of the services that the tenant may use.
 	Services []string
 	Limits   Limits
+	// Rank replaces the rank of the route for the tenant's requests; empty if the route's rank applies.
+	Rank string
+	// Quota limits the tenant's requests at all nodes together.
+	Quota Quota
+}
+
+// Quota is a limit of one tenant's requests for the whole fleet. Zero requests per second mean no limit.
+type Quota struct {
+	RequestsPerSecond float64
+	Burst             int
 }
 
 // File is one decoded configuration file.
@@ -137,7 +149,8 @@
 	Routes []Route
 	// RouteIndex maps the key of a route to its position in Routes.
 	RouteIndex map[RouteKey]int
-	// Tenants is keyed by TokenSHA256.
+	// Tenants is keyed by TokenSHA256. A tenant with several tokens has one entry for each of them. If it is empty, the
+	// entry hosts require no key.
 	Tenants map[string]Tenant
 	// Problems lists the conflicts and missing definitions that merging found across files.
 	Problems []Problem
