Open breakers of backend servers that hang beyond the usual latency

Change: a request is overdue four mean deviations above the mean latency of its route. A likelihood ratio against the usual overdue rate, the median of the pool, opens the breaker after two overdue requests in a row; one makes other servers preferred for some seconds. Entry hosts tell each other of overdue requests, and take turns in trials of such servers. Backup attempts break ties by the hash of the request instead of the address, which sent them all to the first servers.

--- a/internal/node/entrynode/gossip.go
+++ b/internal/node/entrynode/gossip.go
@@ -35,6 +35,7 @@
 	evidenceFailure evidenceKind = iota
 	evidenceRecovery
 	evidenceLeaving
+	evidenceOverdue
 )
 
 // serverEvidence is a failure, a recovery or the leaving of a backend server, to be sent to other nodes.
@@ -55,7 +56,7 @@
 
 // healthGossiper records evidence, logs failed attempts, and queues evidence that is valid for other nodes as well.
 // Reachability of a server differs between nodes, and the failure of a single request does not predict the next one.
-// Only fast failures, recoveries from them, and a server's own announcement that it is leaving are therefore sent.
+// Only fast failures, overdue requests, recoveries from them, and a server's own announcement that it is leaving are therefore sent.
 type healthGossiper struct {
 	*healthcmd.Commands
 	pending chan serverEvidence
@@ -74,6 +75,11 @@
 	g.enqueue(serverEvidence{Server: key, Instance: instance, At: now})
 }
 
+// Overdue implements healthcmd.EvidenceSink.
+func (g *healthGossiper) Overdue(now time.Time, key table.ServerKey, instance string) {
+	g.enqueue(serverEvidence{Kind: evidenceOverdue, Server: key, Instance: instance, At: now})
+}
+
 // Recovered implements healthcmd.EvidenceSink.
 func (g *healthGossiper) Recovered(now time.Time, key table.ServerKey, instance string) {
 	g.logger.Info().Str("service", key.Service).Str("backend-server", key.Address).Str("instance", instance).
@@ -163,6 +169,8 @@
 		switch e.Kind {
 		case evidenceRecovery:
 			out.Recovered = append(out.Recovered, entry)
+		case evidenceOverdue:
+			out.Overdue = append(out.Overdue, entry)
 		case evidenceLeaving:
 			out.Leaving = append(out.Leaving, entry)
 		default:
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -75,6 +75,8 @@
 	Failures  []ServerEvidence `json:"failures,omitempty"`
 	Recovered []ServerEvidence `json:"recovered,omitempty"`
 	Leaving   []ServerEvidence `json:"leaving,omitempty"`
+	// Overdue lists servers at which a request takes far longer than usual.
+	Overdue []ServerEvidence `json:"overdue,omitempty"`
 }
 
 // Report tells another entry host periodically what it needs for decisions that entry hosts make together. Sections that
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -31,6 +31,7 @@
 type EvidenceObserver interface {
 	ObservePeerFailure(now time.Time, key table.ServerKey, instance string, age time.Duration)
 	ObservePeerRecovery(now time.Time, key table.ServerKey, instance string, age time.Duration)
+	ObservePeerOverdue(now time.Time, key table.ServerKey, instance string, age time.Duration)
 	ObservePeerLeaving(now time.Time, service string, run notice.Run)
 }
 
@@ -115,11 +116,14 @@
 	now := time.Now()
 	s.RosterCommands.RecordContact(now, m.From.Announcement())
 	s.Logger.Info().Str("peer", m.From.ID).Strs("failed", addresses(m.Failures)).Strs("recovered", addresses(m.Recovered)).
-		Strs("leaving", addresses(m.Leaving)).
+		Strs("leaving", addresses(m.Leaving)).Strs("overdue", addresses(m.Overdue)).
 		Msg("received health evidence about backend servers from peer")
 	for _, e := range m.Failures {
 		s.Health.ObservePeerFailure(now, e.Key(), e.Instance, e.Age())
 	}
+	for _, e := range m.Overdue {
+		s.Health.ObservePeerOverdue(now, e.Key(), e.Instance, e.Age())
+	}
 	for _, e := range m.Recovered {
 		s.Health.ObservePeerRecovery(now, e.Key(), e.Instance, e.Age())
 	}
--- a/pkg/decide/detect/breaker.go
+++ b/pkg/decide/detect/breaker.go
@@ -99,13 +99,17 @@
 	}
 }
 
+// SharesTrials reports whether the nodes take turns in sending trial requests to the server. A trial of a stalling server
+// fails so late that the other nodes would send theirs before they hear of it.
+func SharesTrials(s *State) bool { return s.LastFailureKind == FailureOverdue }
+
 // openAfterFailure opens the breaker, or extends its open time, as the kind of the failure requires.
 func openAfterFailure(s *State, kind FailureKind, jitter time.Duration, now time.Time) {
 	b := &s.Breaker
 	b.TrialSuccesses = 0
 	b.PeerRecovered = false
 	switch kind {
-	case FailureFast, FailureAtPeer:
+	case FailureFast, FailureAtPeer, FailureOverdue:
 		if now.Sub(b.PhaseStarted) > failurePhaseDuration {
 			b.PhaseStarted = now
 		}
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -53,6 +53,8 @@
 	// OpenJitter is a jitter added to the open time of breakers. It differs between nodes: the node that tries a failing
 	// server first reports the failure, which spares requests of the others.
 	OpenJitter time.Duration
+	// DetectsStalling reports whether breakers open because of overdue requests.
+	DetectsStalling bool
 }
 
 // SettingsOf returns the parameters for the service. The balanced preference is the default.
@@ -65,6 +67,7 @@
 		t.Threshold = fewerFalseEjectionsThreshold
 	case fleet.AvoidOnly:
 		t.Threshold = math.Inf(1)
+		t.DetectsStalling = true
 	}
 	return t
 }
@@ -81,6 +84,8 @@
 	FailureProbe       FailureKind = "probe"
 	// FailureFast is an error that came before the server can have done any work.
 	FailureFast FailureKind = "fast error"
+	// FailureOverdue is a run of requests that took far longer than usual.
+	FailureOverdue FailureKind = "overdue"
 	// FailureAtPeer is a fast error reported by a peer.
 	FailureAtPeer FailureKind = "fast error at a peer"
 )
@@ -106,6 +111,7 @@
 	Latency  time.Duration
 	Ejection Ejection
 	Breaker  Breaker
+	Stalling Stalling
 }
 
 // Sample is the result of one attempt or probe.
--- a/pkg/decide/detect/inflight.go
+++ b/pkg/decide/detect/inflight.go
@@ -20,6 +20,8 @@
 	// Discarded is set when the node was paused while the request was in flight. The age and a failure of the request
 	// are then no evidence about the server.
 	Discarded bool
+	// Overdue reports whether the request was counted as overdue.
+	Overdue bool
 }
 
 // ObserveInFlight counts a request without response headers as a failure once its age exceeds the stall age, and a second
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -225,6 +225,9 @@
 // request, an open breaker may count as half-open.
 func (p servicePool) breakerState(s *table.Backend, t *table.Ticket, now time.Time) detect.BreakerState {
 	state := detect.BreakerStateOf(&s.State, false, now)
+	if state == detect.HalfOpen && detect.SharesTrials(&s.State) && !p.ownsTrialTurn(s, now) {
+		return detect.Open
+	}
 	if state == detect.Open && p.allowsEarlyTrial(t) && p.ownsTrialTurn(s, now) {
 		return detect.BreakerStateOf(&s.State, true, now)
 	}
@@ -293,7 +296,7 @@
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
 		candidates = append(candidates, admission.Server{
 			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
-			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone),
+			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone) + stallingPenalty(s, now),
 		})
 	}
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
@@ -312,6 +315,15 @@
 	return s.Limit.RaisedTo(admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1), now)
 }
 
+// stallingPenalty returns the penalty, in outstanding requests, of a server that may be stalling. It gets a request only if
+// all slots of the other servers are taken.
+func stallingPenalty(s *table.Backend, now time.Time) int {
+	if !detect.SuspectedOfStalling(&s.State, now) {
+		return 0
+	}
+	return s.Server.Slots
+}
+
 // minClosedFraction is the fraction of a pool whose circuit breakers have to be closed before the servers with an open
 // breaker are skipped. In an overload, servers that fail fast always have free slots, and would get all requests for
 // which the other servers have none.
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -1,7 +1,6 @@
 package dispatchcmd
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -138,7 +137,7 @@
 	var reserved bool
 	out := table.Assignment{Ticket: t, BreakerState: detect.Closed}
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
-		s := leastLoaded(b.Services[t.Service], a.Server.Address, now)
+		s := leastLoaded(b.Services[t.Service], t.ID, a.Server.Address, now)
 		if s == nil {
 			return
 		}
@@ -154,20 +153,24 @@
 }
 
 // leastLoaded returns the server with a closed circuit breaker, a free slot and the fewest outstanding requests, or nil
-// if there is none. It skips the server at the excluded address.
-func leastLoaded(servers map[string]*table.Backend, excluded string, now time.Time) *table.Backend {
-	var best *table.Backend
+// if there is none. It skips the server at the excluded address. Ties are broken by a hash of the request, as for first
+// attempts.
+func leastLoaded(servers map[string]*table.Backend, request, excluded string, now time.Time) *table.Backend {
+	var candidates []admission.Server
 	for address, s := range servers {
 		if address == excluded || !s.Limit.Allows(s.Outstanding) ||
 			healthquery.UseOf(s, false, 0, now) != healthquery.NormalUse ||
 			detect.BreakerStateOf(&s.State, false, now) != detect.Closed {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(s.Outstanding, best.Outstanding), cmp.Compare(address, best.Server.Address)) < 0 {
-			best = s
-		}
+		candidates = append(candidates, admission.Server{
+			Address: address, Outstanding: s.Outstanding, Limit: s.Limit, LoadPenalty: stallingPenalty(s, now),
+		})
+	}
+	if n := admission.Choose(candidates, request, nil); n >= 0 {
+		return servers[candidates[n].Address]
 	}
-	return best
+	return nil
 }
 
 // hasTimeForAttempt reports whether enough time is left before the deadline for another attempt.
--- a/pkg/healthcmd/notice_test.go
+++ b/pkg/healthcmd/notice_test.go
@@ -17,6 +17,7 @@
 type leavingSink struct{ runs []notice.Run }
 
 func (*leavingSink) FastFailure(time.Time, table.ServerKey, string) {}
+func (*leavingSink) Overdue(time.Time, table.ServerKey, string)     {}
 func (*leavingSink) Recovered(time.Time, table.ServerKey, string)   {}
 
 func (s *leavingSink) Leaving(_ time.Time, _ string, r notice.Run) { s.runs = append(s.runs, r) }
--- a/pkg/healthcmd/observe.go
+++ b/pkg/healthcmd/observe.go
@@ -37,6 +37,8 @@
 	FastFailure(now time.Time, key table.ServerKey, instance string)
 	// Recovered reports a server whose circuit breaker was closed by successful trial requests.
 	Recovered(now time.Time, key table.ServerKey, instance string)
+	// Overdue reports a server at which a request takes far longer than usual.
+	Overdue(now time.Time, key table.ServerKey, instance string)
 	// Leaving reports a run of a server of the service that announced that it is leaving.
 	Leaving(now time.Time, service string, run notice.Run)
 }
@@ -45,13 +47,14 @@
 // which holds its age.
 func (c *Commands) Observe(now time.Time, a table.Assignment, r table.Result) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	var failedFast, recovered bool
+	var failedFast, recovered, overdue bool
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		s, health := findAndTouch(b, key, now)
 		if s == nil || isNewRun(s.Server, a.Server) {
 			return
 		}
 		baseline := detect.BaselineFor(health.Summary, &s.State, now)
+		overdue = observeLatency(s, health, a.Ticket, r, now)
 		if failedByDeadline(now, a.Ticket, r, baseline) {
 			r.Evidence = fleet.Canceled
 		}
@@ -67,6 +70,9 @@
 	if failedFast && c.Sink != nil {
 		c.Sink.FastFailure(now, key, a.Server.Instance)
 	}
+	if overdue && c.Sink != nil {
+		c.Sink.Overdue(now, key, a.Server.Instance)
+	}
 	if recovered && c.Sink != nil {
 		c.Sink.Recovered(now, key, a.Server.Instance)
 	}
@@ -87,7 +93,11 @@
 // makes sweeps include it and check the age of the request.
 func (c *Commands) Started(now time.Time, a table.Assignment) {
 	key := table.ServerKey{Service: a.Ticket.Service, Address: a.Server.Address}
-	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) { findAndTouch(b, key, now) })
+	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		if s, health := findAndTouch(b, key, now); s != nil {
+			setOverdueAge(s, health, a.Ticket)
+		}
+	})
 	c.record(trace.Event{
 		At: now, Kind: trace.Started, Service: key.Service, Address: key.Address, Request: a.Ticket.ID,
 	})
--- a/pkg/healthcmd/sweep.go
+++ b/pkg/healthcmd/sweep.go
@@ -28,6 +28,7 @@
 func (c *Commands) Sweep(now time.Time) SweepResult {
 	self := c.selfMember()
 	result := SweepResult{Services: map[string]floor.Changes{}}
+	var overdue []overdueServer
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		result.Paused = detect.Paused(b.LastSweep, SweepInterval, now)
 		b.LastSweep = now
@@ -36,6 +37,7 @@
 		services := activeServices(b, now)
 		for _, name := range services {
 			observeInFlight(b, name, result.Paused, now)
+			overdue = append(overdue, observeOverdue(b, name, now)...)
 			countInZones(b, name, zones, now)
 		}
 		b.Isolated = detect.Isolated(zones, self.AvailabilityZone)
@@ -47,6 +49,11 @@
 			deleteDrained(b, name)
 		}
 	})
+	for _, o := range overdue {
+		if c.Sink != nil {
+			c.Sink.Overdue(now, o.Key, o.Instance)
+		}
+	}
 	if result.Paused {
 		c.record(trace.Event{At: now, Kind: trace.Paused})
 	}
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -37,6 +37,10 @@
 	CountedAt time.Time
 	// LastEvidence is the time of the last evidence about the pool; zero if there was none.
 	LastEvidence time.Time
+	// Latencies holds the latencies of the responses by route, and UsualOverdueRate the fraction of overdue requests of
+	// servers that work, as of the last sweep.
+	Latencies        map[string]*detect.Latencies
+	UsualOverdueRate float64
 }
 
 // Backend is the state of one backend server at this node.
@@ -79,6 +83,8 @@
 	// Responded reports whether the response headers have arrived. After that, the age of the request does not indicate
 	// a stall.
 	Responded bool
+	// OverdueAge is the age from which the request counts as overdue; zero if it never does.
+	OverdueAge time.Duration
 	// Evidence is the failure evidence that was counted for the request while it was in flight.
 	Evidence detect.InFlightEvidence
 }
