Hold overdue requests against servers only where they are mostly lost

Change: overdue requests of a pool are evidence only while at least half of those that ended were lost. Servers with a half-open breaker are not less preferred because of them, or they would get no trial.

--- a/pkg/decide/detect/stall.go
+++ b/pkg/decide/detect/stall.go
@@ -28,6 +28,13 @@
 	// is assumed for servers that work.
 	overdueRateTimeConstant = 10 * time.Second
 	minOverdueRate          = 0.03
+	// maxServedFraction is the fraction of overdue requests that are answered after all, below which being overdue is evidence
+	// against a server; minOverdueEnded is the number of ended requests that it takes to tell. In an overload, or with
+	// servers that are slow, most overdue requests are answered.
+	maxServedFraction = 0.5
+	minOverdueEnded   = 8
+	// overdueEndedTimeConstant is the time constant of these counts.
+	overdueEndedTimeConstant = 20 * time.Second
 )
 
 // Latencies is the mean and the mean deviation of the latency of a route's responses.
@@ -56,6 +63,29 @@
 	return max(l.Mean+overdueDeviations*l.Deviation, minStallAge)
 }
 
+// OverdueResults counts how overdue requests of a pool ended, as decayed counts as of At.
+type OverdueResults struct {
+	Served, Unserved float64
+	At               time.Time
+}
+
+// Observe records the end of an overdue request.
+func (r *OverdueResults) Observe(served bool, now time.Time) {
+	f := math.Exp(-max(0, now.Sub(r.At).Seconds()) / overdueEndedTimeConstant.Seconds())
+	r.Served, r.Unserved, r.At = r.Served*f, r.Unserved*f, now
+	if served {
+		r.Served++
+	} else {
+		r.Unserved++
+	}
+}
+
+// ShowStalling reports whether overdue requests of the pool are mostly lost, so that each of them is evidence.
+func (r *OverdueResults) ShowStalling() bool {
+	ended := r.Served + r.Unserved
+	return ended >= minOverdueEnded && r.Served <= maxServedFraction*ended
+}
+
 // Stalling is the evidence that a server stalls.
 type Stalling struct {
 	// Evidence is the log-likelihood ratio of stalling against working, as of At. It is never below zero.
@@ -105,9 +135,13 @@
 	s.Stalling.Evidence = max(0, s.Stalling.Evidence+math.Log((1-stallingRate)/max(1-usualRate, 1-stallingRate)))
 }
 
-// ObserveOverdue records a request of this node that is overdue at the server, and opens the breaker if the server stalls.
-func ObserveOverdue(s *State, usualRate float64, t Settings, now time.Time) {
-	recordOverdue(s, usualRate, t, now)
+// ObserveOverdue records a request of this node that is overdue at the server. If overdue requests are evidence, it opens the
+// breaker of a server that stalls.
+func ObserveOverdue(s *State, usualRate float64, evidence bool, t Settings, now time.Time) {
+	s.Stalling.decay(now)
+	if evidence {
+		recordOverdue(s, usualRate, t, now)
+	}
 	s.Stalling.Requests++
 	s.Stalling.Overdue++
 }
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -296,7 +296,7 @@
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
 		candidates = append(candidates, admission.Server{
 			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
-			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone) + stallingPenalty(s, now),
+			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone) + stallingPenalty(s, state, now),
 		})
 	}
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
@@ -316,9 +316,9 @@
 }
 
 // stallingPenalty returns the penalty, in outstanding requests, of a server that may be stalling. It gets a request only if
-// all slots of the other servers are taken.
-func stallingPenalty(s *table.Backend, now time.Time) int {
-	if !detect.SuspectedOfStalling(&s.State, now) {
+// all slots of the other servers are taken. Trial requests are not held back.
+func stallingPenalty(s *table.Backend, state detect.BreakerState, now time.Time) int {
+	if state != detect.Closed || !detect.SuspectedOfStalling(&s.State, now) {
 		return 0
 	}
 	return s.Server.Slots
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		candidates = append(candidates, admission.Server{
-			Address: address, Outstanding: s.Outstanding, Limit: s.Limit, LoadPenalty: stallingPenalty(s, now),
+			Address: address, Outstanding: s.Outstanding, Limit: s.Limit, LoadPenalty: stallingPenalty(s, detect.Closed, now),
 		})
 	}
 	if n := admission.Choose(candidates, request, nil); n >= 0 {
--- a/pkg/healthcmd/stall.go
+++ b/pkg/healthcmd/stall.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// observeLatency records the latency of a response, and reports whether a request that has ended is overdue and was not
-// counted before.
+// observeLatency records the latency of a response, and reports whether a request that has ended is overdue, was not
+// counted before, and is evidence for the other nodes.
 func observeLatency(s *table.Backend, health *table.ServiceHealth, t *table.Ticket, r table.Result, now time.Time) bool {
 	if !health.Settings.DetectsStalling {
 		return false
@@ -49,21 +49,37 @@
 			latencies.Observe(r.Latency)
 		}
 	}
-	if f.OverdueAge == 0 || f.Evidence.Overdue || f.Evidence.Discarded {
+	if f.OverdueAge == 0 || f.Evidence.Discarded {
 		return false
 	}
-	if r.Latency >= f.OverdueAge && !detect.InColdStart(&s.State, health.Settings, now) {
-		detect.ObserveOverdue(&s.State, health.UsualOverdueRate, health.Settings, now)
-		return true
+	isOverdue := r.Latency >= f.OverdueAge && !detect.InColdStart(&s.State, health.Settings, now)
+	if isOverdue && endedByItself(r, t, now) {
+		health.OverdueResults.Observe(r.Evidence == fleet.Succeeded, now)
 	}
-	if r.Evidence == fleet.Succeeded {
+	switch {
+	case f.Evidence.Overdue:
+	case isOverdue:
+		return countOverdue(s, health, now)
+	case r.Evidence == fleet.Succeeded:
 		detect.ObserveInTime(&s.State, health.UsualOverdueRate, now)
 	}
 	return false
 }
 
-// observeOverdue counts the requests in flight of the service that have become overdue, and returns their servers. It also
-// updates the usual rate of overdue requests.
+// endedByItself reports whether the request was not given up before its deadline, for example for a faster backup attempt.
+func endedByItself(r table.Result, t *table.Ticket, now time.Time) bool {
+	return r.Response || r.Evidence == fleet.Succeeded || !now.Before(t.Deadline)
+}
+
+// countOverdue records an overdue request at the server, and reports whether it is evidence for the other nodes as well.
+func countOverdue(s *table.Backend, health *table.ServiceHealth, now time.Time) bool {
+	evidence := health.OverdueResults.ShowStalling()
+	detect.ObserveOverdue(&s.State, health.UsualOverdueRate, evidence, health.Settings, now)
+	return evidence
+}
+
+// observeOverdue counts the requests in flight of the service that have become overdue, and returns the servers against
+// which they are evidence. It also updates the usual rate of overdue requests.
 func observeOverdue(b *table.Backends, name string, now time.Time) []overdueServer {
 	health := b.Health[name]
 	if !health.Settings.DetectsStalling {
@@ -83,7 +99,9 @@
 			}
 			f.Evidence.Overdue = true
 			s.InFlight[id] = f
-			detect.ObserveOverdue(&s.State, health.UsualOverdueRate, health.Settings, now)
+			if !countOverdue(s, health, now) {
+				continue
+			}
 			list = append(list, overdueServer{Key: table.ServerKey{Service: name, Address: s.Server.Address}, Instance: s.Server.Instance})
 		}
 	}
@@ -95,7 +113,7 @@
 func (c *Commands) ObservePeerOverdue(now time.Time, key table.ServerKey, instance string, age time.Duration) {
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		s, health := findAndTouch(b, key, now)
-		if s == nil || s.Server.Instance != instance || !health.Settings.DetectsStalling {
+		if s == nil || s.Server.Instance != instance || !health.Settings.DetectsStalling || !health.OverdueResults.ShowStalling() {
 			return
 		}
 		detect.ObservePeerOverdue(&s.State, health.UsualOverdueRate, age, health.Settings, now)
--- a/pkg/healthcmd/stall_test.go
+++ b/pkg/healthcmd/stall_test.go
@@ -40,6 +40,11 @@
 	for n := range 40 {
 		f.end(f.send("s2"), time.Duration(80+n%3*20)*time.Millisecond, fleet.Succeeded)
 	}
+	f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for range 20 {
+			b.Health["desk"].OverdueResults.Observe(false, f.now)
+		}
+	})
 	return f
 }
 
@@ -98,6 +103,13 @@
 		f.ObservePeerOverdue(f.now, table.ServerKey{Service: "desk", Address: "s1"}, "", 50*time.Millisecond)
 		f.assertBreaker(t, detect.Open)
 	})
+	t.Run("where overdue requests are answered after all, they count for nothing", func(t *testing.T) {
+		f := newStallFixture()
+		for range 40 {
+			f.end(f.send("s1"), 300*time.Millisecond, fleet.Succeeded)
+		}
+		f.assertBreaker(t, detect.Closed)
+	})
 	t.Run("a request that ends early because of its deadline is no evidence", func(t *testing.T) {
 		f := newStallFixture()
 		for range 5 {
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -41,6 +41,8 @@
 	// servers that work, as of the last sweep.
 	Latencies        map[string]*detect.Latencies
 	UsualOverdueRate float64
+	// OverdueResults tells whether overdue requests are evidence against their servers.
+	OverdueResults detect.OverdueResults
 }
 
 // Backend is the state of one backend server at this node.
