--- a/pkg/decide/detect/stall.go
+++ b/pkg/decide/detect/stall.go
@@ -28,7 +28,7 @@
 	// is assumed for servers that work.
 	overdueRateTimeConstant = 10 * time.Second
 	minOverdueRate          = 0.03
-	// maxServedFraction is the fraction of overdue requests that are answered after all, below which being overdue is evidence
+	// maxServedFraction is the fraction of overdue requests that are answered after all, up to which being overdue is evidence
 	// against a server; minOverdueEnded is the number of ended requests that it takes to tell. In an overload, or with
 	// servers that are slow, most overdue requests are answered.
 	maxServedFraction = 0.5
--- a/pkg/decide/detect/stall_test.go
+++ b/pkg/decide/detect/stall_test.go
@@ -78,7 +78,7 @@
 		is.New(t).Equal(r.ShowStalling(), want)
 	}
 	t.Run("overdue requests that are lost are evidence", func(t *testing.T) { assertStalling(t, 2, 20, true) })
-	t.Run("overdue requests that are answered are none", func(t *testing.T) { assertStalling(t, 20, 20, false) })
+	t.Run("overdue requests that are answered are none", func(t *testing.T) { assertStalling(t, 30, 20, false) })
 	t.Run("a few requests do not tell", func(t *testing.T) { assertStalling(t, 0, minOverdueEnded-1, false) })
 	t.Run("without evidence no breaker opens", func(t *testing.T) {
 		s := &State{}
