Try servers again that refused a request as not meant for them

Cause: a 421 marks a server as leaving until its registration changes or a health check passes.

Change: in services that eject nothing, a server that is still registered 10 s after the refusal gets trial requests through its half-open breaker.

--- a/pkg/decide/detect/breaker.go
+++ b/pkg/decide/detect/breaker.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// TryAgain makes the breaker half-open, for a server that was not used for another reason.
+func TryAgain(s *State, now time.Time) {
+	s.Breaker.OpenUntil = now
+	s.Breaker.TrialSuccesses = 0
+}
+
 func (b *Breaker) extendOpen(until time.Time) {
 	if until.After(b.OpenUntil) {
 		b.OpenUntil = until
--- a/pkg/decide/detect/detect.go
+++ b/pkg/decide/detect/detect.go
@@ -53,8 +53,8 @@
 	// OpenJitter is a jitter added to the open time of breakers. It differs between nodes: the node that tries a failing
 	// server first reports the failure, which spares requests of the others.
 	OpenJitter time.Duration
-	// DetectsStalling reports whether breakers open because of overdue requests.
-	DetectsStalling bool
+	// AvoidOnly reports whether only breakers keep requests from servers: nothing is ejected and no health checks are sent.
+	AvoidOnly bool
 }
 
 // SettingsOf returns the parameters for the service. The balanced preference is the default.
@@ -67,7 +67,7 @@
 		t.Threshold = fewerFalseEjectionsThreshold
 	case fleet.AvoidOnly:
 		t.Threshold = math.Inf(1)
-		t.DetectsStalling = true
+		t.AvoidOnly = true
 	}
 	return t
 }
--- a/pkg/healthcmd/leaving.go
+++ b/pkg/healthcmd/leaving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/notice"
+	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/healthquery"
@@ -34,6 +35,24 @@
 	}
 }
 
+// refusedHoldDuration is how long a server that refused a request as not meant for it gets none. A registration of a server
+// that has ended is removed by then, or its address has another one.
+const refusedHoldDuration = 10 * time.Second
+
+// tryRefusedAgain lets the servers of the service that refused a request some time ago, and are still registered, get a trial
+// request. Services whose servers get health checks learn from them that a server is back.
+func tryRefusedAgain(b *table.Backends, name string, now time.Time) {
+	if !b.Health[name].Settings.AvoidOnly {
+		return
+	}
+	for _, s := range b.Services[name] {
+		if s.Leaving && s.LeavingReason == table.LeavingRefused && now.Sub(s.LeavingSince) >= refusedHoldDuration {
+			s.Leaving, s.LeavingReason = false, ""
+			detect.TryAgain(&s.State, now)
+		}
+	}
+}
+
 // recordNotice records what the server that handled the attempt asked for, and reports whether this node learned only now
 // that it is leaving. The server in the table may be a later run at the same address, to which the notice does not apply.
 func recordNotice(b *table.Backends, a table.Assignment, r table.Result, now time.Time) bool {
--- a/pkg/healthcmd/stall.go
+++ b/pkg/healthcmd/stall.go
@@ -23,7 +23,7 @@
 func setOverdueAge(s *table.Backend, health *table.ServiceHealth, t *table.Ticket) {
 	f, found := s.InFlight[t.ID]
 	latencies := health.Latencies[t.Route]
-	if found && latencies != nil && health.Settings.DetectsStalling {
+	if found && latencies != nil && health.Settings.AvoidOnly {
 		f.OverdueAge = latencies.OverdueAge()
 		s.InFlight[t.ID] = f
 	}
@@ -32,7 +32,7 @@
 // observeLatency records the latency of a response, and reports whether a request that has ended is overdue, was not
 // counted before, and is evidence for the other nodes.
 func observeLatency(s *table.Backend, health *table.ServiceHealth, t *table.Ticket, r table.Result, now time.Time) bool {
-	if !health.Settings.DetectsStalling {
+	if !health.Settings.AvoidOnly {
 		return false
 	}
 	f := s.InFlight[t.ID]
@@ -82,7 +82,7 @@
 // which they are evidence. It also updates the usual rate of overdue requests.
 func observeOverdue(b *table.Backends, name string, now time.Time) []overdueServer {
 	health := b.Health[name]
-	if !health.Settings.DetectsStalling {
+	if !health.Settings.AvoidOnly {
 		return nil
 	}
 	pool := make([]*detect.State, 0, len(b.Services[name]))
@@ -113,7 +113,7 @@
 func (c *Commands) ObservePeerOverdue(now time.Time, key table.ServerKey, instance string, age time.Duration) {
 	c.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
 		s, health := findAndTouch(b, key, now)
-		if s == nil || s.Server.Instance != instance || !health.Settings.DetectsStalling || !health.OverdueResults.ShowStalling() {
+		if s == nil || s.Server.Instance != instance || !health.Settings.AvoidOnly || !health.OverdueResults.ShowStalling() {
 			return
 		}
 		detect.ObservePeerOverdue(&s.State, health.UsualOverdueRate, age, health.Settings, now)
--- a/pkg/healthcmd/sweep.go
+++ b/pkg/healthcmd/sweep.go
@@ -38,6 +38,7 @@
 		for _, name := range services {
 			observeInFlight(b, name, result.Paused, now)
 			overdue = append(overdue, observeOverdue(b, name, now)...)
+			tryRefusedAgain(b, name, now)
 			countInZones(b, name, zones, now)
 		}
 		b.Isolated = detect.Isolated(zones, self.AvailabilityZone)
