Limit each customer's requests at all hosts together

Cause: the platform's configurations limit the requests of each customer at all hosts together, and no host counted them. Change: each host has one token bucket for the whole fleet per customer; what other hosts accept is assumed to equal its own until their reports replace the assumption. Settings quota-window, quota-over and quota-slack take the platform's tolerance.

--- /dev/null
+++ b/internal/customer/quotacmd/calm_test.go
@@ -0,0 +1,98 @@
+package quotacmd
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+// Guards against hosts that refuse requests within the limit because they do not know what the others accept.
+func TestNoNeedlessRefusals(t *testing.T) {
+	for _, hosts := range []int{1, 3, 6} {
+		for _, rate := range []float64{2, 40, 323} {
+			for name, weights := range map[string][]float64{"evenly": {1}, "through one host": {1, 0}, "unevenly": {7, 2, 1}} {
+				t.Run(fmt.Sprintf("%d hosts, %v requests per second, %s", hosts, rate, name), func(t *testing.T) {
+					f := newTestFleet(hosts, fleet.Quota{RequestsPerSecond: rate, Burst: int(rate)}, 1)
+					f.setDemand(rate/1.6, weights...)
+					f.run(time.Minute)
+					assertNoNeedlessRefusals(t, f)
+				})
+			}
+		}
+	}
+	t.Run("a host that has failed", func(t *testing.T) {
+		f := newTestFleet(4, fleet.Quota{RequestsPerSecond: 40, Burst: 40}, 1)
+		f.Hosts[3].Up = false
+		f.setDemand(25, 1)
+		f.Hosts[3].Demand = 0
+		f.run(time.Minute)
+		assertNoNeedlessRefusals(t, f)
+	})
+	// Guards against a debt for what hosts accepted within their parts while they were cut off.
+	t.Run("the end of a partition", func(t *testing.T) {
+		f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 40, Burst: 40}, 1)
+		f.Hosts[0].Side = 1
+		f.setDemand(20, 1, 0)
+		f.run(20 * time.Second)
+		f.Hosts[0].Side, f.NeedlesslyRefused = 0, 0
+		f.run(10 * time.Second)
+		assertNoNeedlessRefusals(t, f)
+	})
+	// Guards against a fleet that accepts less than the limit while one customer sends ten times as much.
+	t.Run("an overloaded customer gets its whole rate", func(t *testing.T) {
+		f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 100, Burst: 100}, 1)
+		f.setDemand(1000, 7, 2, 1)
+		f.run(20 * time.Second)
+		is.New(t).True(len(f.Accepted) >= 20*100)
+	})
+}
+
+// Guards against a lower limit that debts from the higher one make unusable, and against one that takes effect late.
+func TestLimitFalls(t *testing.T) {
+	f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 300, Burst: 300}, 1)
+	f.setDemand(1000, 1)
+	f.run(3 * time.Second)
+	f.setLimit(fleet.Quota{RequestsPerSecond: 4, Burst: 4})
+	f.Accepted = nil
+	f.run(10 * time.Second)
+	assertBound(t, f)
+	is.New(t).True(len(f.Accepted) >= 30)
+}
+
+// Guards against a Retry-After after which the request is refused again.
+func TestRetryAfter(t *testing.T) {
+	f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 5, Burst: 5}, 1)
+	h := f.Hosts[0]
+	for f.take(h) {
+	}
+	var delays []time.Duration
+	for range 4 {
+		is.New(t).True(!f.take(h))
+		delays = append(delays, f.LastRetry)
+	}
+	begin := f.Now
+	for _, delay := range delays {
+		f.run(begin.Add(delay).Sub(f.Now))
+		is.New(t).True(f.take(h))
+	}
+}
+
+// Guards against state of a customer whose limit was removed, and against state that faulty peers create.
+func TestUnlimitedCustomer(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(2, fleet.Quota{RequestsPerSecond: 5, Burst: 5}, 1)
+	f.setDemand(50, 1)
+	f.run(time.Second)
+	f.setLimit(fleet.Quota{})
+	f.run(time.Second)
+	for _, h := range f.Hosts {
+		is.Equal(f.bucketCount(h), 0)
+	}
+	before := f.Refused
+	f.run(time.Second)
+	is.Equal(f.Refused, before)
+}
--- /dev/null
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -0,0 +1,256 @@
+// Package quotacmd counts the requests of customers against their limits for the whole fleet, and exchanges the counts with
+// other hosts. It writes the Quotas table and holds no other lock meanwhile.
+package quotacmd
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"egretline.example/egretline/internal/decide/quota"
+	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+const (
+	// calmReportInterval is the time between two reports while no customer is near its limit.
+	calmReportInterval = 300 * time.Millisecond
+	// idleDuration is how long the bucket of an inactive customer is kept.
+	idleDuration = 30 * time.Second
+	// bindingDuration is how long after the last refusal a limit counts as reached.
+	bindingDuration = 5 * time.Second
+)
+
+// Commands updates the Quotas table of one node.
+type Commands struct {
+	Tables *table.Tables
+	Logger zerolog.Logger
+}
+
+// Options are the settings of a node.
+type Options struct {
+	Tolerance quota.Tolerance
+	StartedAt time.Time
+	// Seeds is the number of other hosts in the settings.
+	Seeds int
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
+}
+
+// New returns the commands for one node.
+func New(t *table.Tables, o Options, logger zerolog.Logger) *Commands {
+	t.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		q.Tolerance = o.Tolerance
+		q.Membership.StartedAt, q.Membership.HeardAt, q.Membership.InformedSince = o.StartedAt, o.StartedAt, o.StartedAt
+		q.Membership.Seeds, q.Membership.FirstStart = o.Seeds, o.FirstStart
+		q.Spenders = q.Membership.Spenders(o.StartedAt)
+	})
+	return &Commands{Tables: t, Logger: logger}
+}
+
+// Adopt takes the limits from the configuration. It drops the state of customers without a limit.
+func (c *Commands) Adopt(now time.Time, config *fleet.Configuration) {
+	limits := map[string]fleet.Quota{}
+	for _, t := range config.Tenants {
+		if t.Quota.RequestsPerSecond > 0 {
+			limits[t.Name] = t.Quota
+		}
+	}
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		if q.Revision == config.Revision {
+			return
+		}
+		q.Limits, q.Revision = limits, config.Revision
+		for name, b := range q.Buckets {
+			limit, limited := limits[name]
+			if !limited {
+				delete(q.Buckets, name)
+				continue
+			}
+			b.SetQuota(now, limit, q.Tolerance)
+		}
+	})
+}
+
+// Take implements hostfront.CustomerLimiter.
+func (c *Commands) Take(now time.Time, t fleet.Tenant) (retryAfter time.Duration, ok bool) {
+	var began bool
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		limit, limited := q.Limits[t.Name]
+		if !limited {
+			// The request was identified by a configuration that is not adopted yet, or no longer active.
+			ok = true
+			return
+		}
+		b := bucket(q, now, t.Name, limit)
+		retryAfter, ok = b.Take(now, q.Spenders, q.Tolerance)
+		if ok {
+			b.Changed, b.ActiveAt = q.Sequence+1, now
+		}
+		notePressure(q, now, b, b.Level)
+		began = !ok && !b.Counts.Binding
+		b.Counts.Binding = b.Counts.Binding || began
+	})
+	if began {
+		c.Logger.Info().Str("customer", t.Name).Float64("per-second", t.Quota.RequestsPerSecond).Int("burst", t.Quota.Burst).
+			Dur("retry-after-ms", retryAfter).Msg("customer has reached its limit; refusing its further requests")
+	}
+	return retryAfter, ok
+}
+
+// GiveBack implements hostfront.CustomerLimiter.
+func (c *Commands) GiveBack(now time.Time, t fleet.Tenant, taken time.Time) {
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		if b, known := q.Buckets[t.Name]; known {
+			b.GiveBack(now, taken)
+			b.Changed, b.ActiveAt = q.Sequence+1, now
+		}
+	})
+}
+
+func bucket(q *table.Quotas, now time.Time, name string, limit fleet.Quota) *quota.Bucket {
+	b, known := q.Buckets[name]
+	if !known {
+		b = quota.NewBucket(limit, q.Membership.InitialLevel(now, limit), now, q.Sequence+1)
+		b.ActiveAt = now
+		q.Buckets[name] = b
+	}
+	return b
+}
+
+// Report returns the section for the host in the report with the sequence number, or nil if nothing needs to be sent now.
+func (c *Commands) Report(now time.Time, id string, sequence uint64) (section *peerapi.CustomerUsage) {
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		q.Sequence = max(q.Sequence, sequence)
+		h := q.Membership.Host(id)
+		if !reportDue(q, h, now) {
+			return
+		}
+		h.SentAt = now
+		section = &peerapi.CustomerUsage{}
+		for name, b := range q.Buckets {
+			if b.Changed <= h.Delivered {
+				continue
+			}
+			if len(section.Customers) == peerapi.MaxCustomers {
+				section.Partial = true
+				break
+			}
+			b.Settle(now)
+			section.Customers = append(section.Customers, peerapi.CustomerTotal{
+				Name: name, Since: b.Since, Used: b.Used, Level: b.Level,
+			})
+		}
+	})
+	return section
+}
+
+// reportDue reports whether the host has to be told now. Reports are frequent while a customer is near its limit, because
+// hosts set parts aside for those that they do not hear.
+func reportDue(q *table.Quotas, h *quota.Host, now time.Time) bool {
+	if len(q.Limits) == 0 {
+		return false
+	}
+	if now.Sub(h.SentAt) >= calmReportInterval {
+		return true
+	}
+	return now.Before(q.PressedUntil)
+}
+
+// notePressure records whether the customer of the bucket is near its limit, given the level that a host counts.
+func notePressure(q *table.Quotas, now time.Time, b *quota.Bucket, level float64) {
+	if b.Pressed(level, q.Tolerance) {
+		q.PressedUntil = now.Add(calmReportInterval)
+	}
+}
+
+// Delivered records that the host has received the report with the sequence number.
+func (c *Commands) Delivered(id string, sequence uint64, section *peerapi.CustomerUsage) {
+	if section == nil || section.Partial {
+		return
+	}
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		h := q.Membership.Host(id)
+		h.Delivered = max(h.Delivered, sequence)
+	})
+}
+
+// Observe takes the section of a report from another host. Customers without a limit are ignored.
+func (c *Commands) Observe(now time.Time, r peerapi.Report) {
+	if r.Customers == nil {
+		return
+	}
+	if err := r.Customers.Check(); err != nil {
+		c.Logger.Warn().Err(err).Str("peer", r.From.ID).Msg("ignoring counts of customers from peer: they are invalid")
+		return
+	}
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		arrival, accepted := q.Membership.Hear(now, r.From.ID, r.Incarnation, r.Sequence)
+		if !accepted {
+			return
+		}
+		if h := q.Membership.Host(r.From.ID); r.From.Leaving && h.LeavingSince.IsZero() {
+			h.LeavingSince = now
+		}
+		for _, t := range r.Customers.Customers {
+			limit, limited := q.Limits[t.Name]
+			if !limited {
+				continue
+			}
+			b := bucket(q, now, t.Name, limit)
+			b.ActiveAt = now
+			b.Confirm(now, r.From.ID, arrival)
+			u := quota.Usage{Incarnation: r.Incarnation, Since: t.Since, Used: t.Used, Level: t.Level}
+			b.Charge(now, r.From.ID, u, arrival)
+			b.Bound(q.Tolerance, arrival)
+			notePressure(q, now, b, min(b.Level, t.Level))
+		}
+		if r.Customers.Partial {
+			return
+		}
+		for _, b := range q.Buckets {
+			b.Confirm(now, r.From.ID, arrival)
+			b.Bound(q.Tolerance, arrival)
+		}
+	})
+}
+
+// Sweep updates the hosts that may accept requests, and drops the buckets of inactive customers.
+func (c *Commands) Sweep(now time.Time, otherEntryHosts []fleet.Host) {
+	ids := make([]string, len(otherEntryHosts))
+	for i, h := range otherEntryHosts {
+		ids[i] = h.ID
+	}
+	var ended []string
+	var isolationChanged, isolated bool
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		q.Membership.SeeEntryHosts(now, ids)
+		q.Spenders = q.Membership.Spenders(now)
+		for name, b := range q.Buckets {
+			b.Settle(now)
+			if b.Counts.Binding && now.Sub(b.Counts.LastRefused) > bindingDuration {
+				b.Counts.Binding = false
+				ended = append(ended, name)
+			}
+			if b.Idle() && now.Sub(b.ActiveAt) > idleDuration {
+				delete(q.Buckets, name)
+			}
+		}
+		isolated = len(q.Limits) > 0 && q.Membership.Isolated(now)
+		isolationChanged = isolated != q.Isolated
+		q.Isolated = isolated
+	})
+	slices.Sort(ended)
+	for _, name := range ended {
+		c.Logger.Info().Str("customer", name).Msg("customer is below its limit again")
+	}
+	switch {
+	case isolationChanged && isolated:
+		c.Logger.Warn().Msg("hearing no other entry host; accepting only this host's part of each customer's limit")
+	case isolationChanged:
+		c.Logger.Info().Msg("hearing other entry hosts again; sharing the limits of customers with them")
+	}
+}
--- /dev/null
+++ b/internal/decide/quota/quota.go
@@ -0,0 +1,250 @@
+// Package quota decides whether a request is within the limit that its customer has at all hosts together. It answers the
+// load of one customer that sends far more than its limit through several hosts at once, some of which may be out of touch.
+//
+// Each host has one token bucket for the whole fleet per customer. A request that the host accepts is charged once for
+// itself and once for each other host that may accept requests, as if that host had accepted one as well. A report from
+// that host replaces the assumption by what the host really accepted. Hosts in touch therefore share one bucket, while
+// hosts that are out of touch are left with equal parts of the rate and the burst, whoever is cut off from whom.
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+const (
+	// usedTolerance is the fraction of the tolerance that buckets may be overdrawn by. It keeps hosts from refusing requests
+	// of small customers between two reports. The rest covers what hosts accept before they hear of each other, and a
+	// restart of all hosts, which lose the debts of the buckets.
+	usedTolerance = 0.5
+	// maxRetryAfter bounds the delay until a refused request will be accepted.
+	maxRetryAfter = 10 * time.Second
+	// maxPeaks bounds the peaks that a bucket records.
+	maxPeaks = 16
+)
+
+// Tolerance is how far the requests of a customer may exceed its limit in a window, by a fraction of what the limit allows
+// in the window and by a number of requests.
+type Tolerance struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+// Allowance returns the number of requests by which buckets may be overdrawn.
+func (t Tolerance) Allowance(q fleet.Quota) float64 {
+	return usedTolerance * (t.Over*(q.RequestsPerSecond*t.Window.Seconds()+float64(q.Burst)) + t.Slack)
+}
+
+// Spenders are the other hosts that may accept requests of customers.
+type Spenders struct {
+	// Hosts holds their IDs.
+	Hosts []string
+	// Unknown is the number of further hosts whose IDs are not known.
+	Unknown int
+}
+
+// Count returns the number of hosts that may accept requests, including the host itself.
+func (s Spenders) Count() int { return 1 + len(s.Hosts) + s.Unknown }
+
+// Bucket is the token bucket of one customer as one host sees it.
+type Bucket struct {
+	Quota fleet.Quota
+	// Level is the number of tokens at the time At. It is negative while the bucket is overdrawn.
+	Level float64
+	At    time.Time
+	// Used is the number of requests that this host has accepted, less those given back.
+	Used float64
+	// Since is the sequence number of the first report that can mention the bucket, and Changed that of the first report
+	// with the current value of Used.
+	Since   uint64
+	Changed uint64
+	// Assumed holds what was charged for other hosts since their last reports, by host ID.
+	Assumed map[string]Assumption
+	// Reported holds what other hosts last reported, by host ID.
+	Reported map[string]Usage
+	// Peaks holds the levels right before requests were accepted, in order of time. Levels that a later one exceeded are
+	// left out.
+	Peaks []Peak
+	// ActiveAt is when the bucket was last charged.
+	ActiveAt time.Time
+	// Promised is the time at which the last of the refused requests will be accepted.
+	Promised time.Time
+	Counts   Counts
+}
+
+// Assumption is what was charged for another host.
+type Assumption struct {
+	Tokens float64
+	Since  time.Time
+}
+
+// Peak is a level of a bucket right before a request was accepted.
+type Peak struct {
+	At    time.Time
+	Level float64
+}
+
+// Counts are the requests of a customer at this host, for the operator.
+type Counts struct {
+	Taken    int64
+	Refused  int64
+	Returned float64
+	// LastRefused is the time of the last refusal.
+	LastRefused time.Time
+	// Binding reports whether the limit was reached lately.
+	Binding bool
+}
+
+// NewBucket returns a bucket with the given level, which is reduced to the burst.
+func NewBucket(q fleet.Quota, level float64, now time.Time, since uint64) *Bucket {
+	return &Bucket{
+		Quota: q, Level: min(level, float64(q.Burst)), At: now, Since: since,
+		Assumed: map[string]Assumption{}, Reported: map[string]Usage{},
+	}
+}
+
+// Settle adds the tokens that are due at the time.
+func (b *Bucket) Settle(now time.Time) {
+	if elapsed := now.Sub(b.At); elapsed > 0 {
+		b.Level = min(b.Level+elapsed.Seconds()*b.Quota.RequestsPerSecond, float64(b.Quota.Burst))
+		b.At = now
+	}
+}
+
+// SetQuota changes the limit. A lower one takes effect at once, and debts that it could not have caused are waived.
+func (b *Bucket) SetQuota(now time.Time, q fleet.Quota, t Tolerance) {
+	if q == b.Quota {
+		return
+	}
+	b.Settle(now)
+	b.Quota = q
+	b.Level = min(max(b.Level, -t.Allowance(q)), float64(q.Burst))
+	b.Promised = time.Time{}
+	clear(b.Assumed)
+	b.Peaks = append(b.Peaks[:0], Peak{At: now, Level: float64(q.Burst)})
+}
+
+// Take charges one request. If the limit is reached, it returns the delay after which a request will be accepted, and
+// false.
+func (b *Bucket) Take(now time.Time, s Spenders, t Tolerance) (retryAfter time.Duration, ok bool) {
+	b.Settle(now)
+	charge := float64(s.Count())
+	// A full bucket accepts a request even if it holds fewer tokens than there are hosts.
+	required := min(float64(b.Quota.Burst), charge-t.Allowance(b.Quota))
+	if b.Level < required {
+		b.Counts.Refused++
+		b.Counts.LastRefused = now
+		return b.promise(now, (required-b.Level)/b.Quota.RequestsPerSecond, charge), false
+	}
+	b.recordPeak(now)
+	b.Level -= charge
+	b.Used++
+	b.Counts.Taken++
+	for _, id := range s.Hosts {
+		b.assume(id, 1, now)
+	}
+	if s.Unknown > 0 {
+		b.assume("", float64(s.Unknown), now)
+	}
+	return 0, true
+}
+
+// promise returns the delay for a refused request. Later requests get later times, at the rate that is left to this host
+// while all hosts refuse, because callers that all return at the same time would be refused again.
+func (b *Bucket) promise(now time.Time, wait, charge float64) time.Duration {
+	earliest := now.Add(seconds(wait))
+	if next := b.Promised.Add(seconds(charge / b.Quota.RequestsPerSecond)); !b.Promised.IsZero() && next.After(earliest) {
+		earliest = next
+	}
+	if latest := now.Add(max(maxRetryAfter, seconds(wait))); earliest.After(latest) {
+		earliest = latest
+	}
+	b.Promised = earliest
+	// The delay is sent in milliseconds and must not be rounded down.
+	return earliest.Sub(now).Truncate(time.Millisecond) + time.Millisecond
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// GiveBack uncharges a request that was accepted at the time taken, as if it had never been. A bucket that has been full
+// meanwhile would be full without the request as well, and gets no token.
+func (b *Bucket) GiveBack(now, taken time.Time) {
+	b.Settle(now)
+	highest := b.Level
+	for _, p := range b.Peaks {
+		if p.At.After(taken) {
+			highest = max(highest, p.Level)
+		}
+	}
+	charge := 1.0
+	for _, a := range b.Assumed {
+		if !a.Since.After(taken) {
+			charge += min(1, a.Tokens)
+		}
+	}
+	back := min(charge, float64(b.Quota.Burst)-highest)
+	if back <= 0 {
+		return
+	}
+	b.Level += back
+	b.raisePeaks(taken, back)
+	fraction := back / charge
+	b.Used = max(0, b.Used-fraction)
+	b.Counts.Returned += fraction
+	for id, a := range b.Assumed {
+		if !a.Since.After(taken) {
+			a.Tokens -= fraction * min(1, a.Tokens)
+			b.Assumed[id] = a
+		}
+	}
+}
+
+func (b *Bucket) assume(id string, tokens float64, now time.Time) {
+	a, known := b.Assumed[id]
+	if !known {
+		a.Since = now
+	}
+	a.Tokens += tokens
+	b.Assumed[id] = a
+}
+
+// recordPeak records the level before a request is charged. The oldest peaks are merged into a later one, which gives
+// back less.
+func (b *Bucket) recordPeak(now time.Time) {
+	b.dropLowerPeaks(b.Level)
+	if len(b.Peaks) == maxPeaks {
+		b.Peaks[1].Level = b.Peaks[0].Level
+		b.Peaks = slices.Delete(b.Peaks, 0, 1)
+	}
+	b.Peaks = append(b.Peaks, Peak{At: now, Level: b.Level})
+}
+
+func (b *Bucket) dropLowerPeaks(level float64) {
+	for len(b.Peaks) > 0 && b.Peaks[len(b.Peaks)-1].Level <= level {
+		b.Peaks = b.Peaks[:len(b.Peaks)-1]
+	}
+}
+
+// raisePeaks raises the peaks after the time, as if the tokens had been there since then.
+func (b *Bucket) raisePeaks(after time.Time, tokens float64) {
+	for i := range b.Peaks {
+		if b.Peaks[i].At.After(after) {
+			b.Peaks[i].Level = min(b.Peaks[i].Level+tokens, float64(b.Quota.Burst))
+		}
+	}
+}
+
+// Idle reports whether the bucket is as a new one would be.
+func (b *Bucket) Idle() bool {
+	return b.Level >= float64(b.Quota.Burst)
+}
+
+// Pressed reports whether hosts need to hear of each other soon, because a host has used a third of the tokens. The level is
+// that of this host's bucket or of another one's.
+func (b *Bucket) Pressed(level float64, t Tolerance) bool {
+	allowance := t.Allowance(b.Quota)
+	return level+allowance < (float64(b.Quota.Burst)+allowance)*2/3
+}
--- /dev/null
+++ b/internal/decide/quota/report.go
@@ -0,0 +1,100 @@
+package quota
+
+import "time"
+
+// maxSilence is the time between two reports of a host above which it was out of touch. What it accepted meanwhile was
+// set aside for it, and does not become a debt.
+const maxSilence = time.Second
+
+// Usage is what a host reports about a customer.
+type Usage struct {
+	// Incarnation identifies the run of the host's process, and Since the bucket in that run.
+	Incarnation int64
+	Since       uint64
+	// Used is the number of requests that the host has accepted, less those given back.
+	Used float64
+	// Level is the level of the host's bucket.
+	Level float64
+}
+
+// Host is what a host knows of the reports of another one.
+type Host struct {
+	// Incarnation and Sequence identify the newest report, which was received at HeardAt.
+	Incarnation int64
+	Sequence    uint64
+	HeardAt     time.Time
+	// Delivered is the newest report that the other host has received from this one, and SentAt when one was last sent.
+	Delivered uint64
+	SentAt    time.Time
+	// EntryUntil is when the host was last an entry host, and LeavingSince when it was first seen leaving; zero if it is not.
+	EntryUntil   time.Time
+	LeavingSince time.Time
+}
+
+// Arrival is the place of a report in the order of the reports of its sender.
+type Arrival struct {
+	// First is set for the first report from the host, and Restarted for the first one of a new run of its process.
+	First     bool
+	Restarted bool
+	// LastSequence is the sequence number of the report before, and Silence the time since.
+	LastSequence uint64
+	Silence      time.Duration
+}
+
+// Hear records a report. It returns false for a late or repeated one, which is ignored.
+func (h *Host) Hear(now time.Time, incarnation int64, sequence uint64) (Arrival, bool) {
+	if incarnation < h.Incarnation || incarnation == h.Incarnation && sequence <= h.Sequence {
+		return Arrival{}, false
+	}
+	a := Arrival{
+		First: h.HeardAt.IsZero(), Restarted: incarnation != h.Incarnation, LastSequence: h.Sequence,
+		Silence: now.Sub(h.HeardAt),
+	}
+	if a.Restarted {
+		// The new process has lost what it was told.
+		a.LastSequence, h.Delivered = 0, 0
+	}
+	h.Incarnation, h.Sequence, h.HeardAt = incarnation, sequence, now
+	return a, true
+}
+
+// Confirm replaces what was assumed about a host by its report, in which the host mentioned all customers whose use has
+// changed. What a previous run of the process accepted after its last report is not known, and stays charged.
+func (b *Bucket) Confirm(now time.Time, id string, a Arrival) {
+	assumed, known := b.Assumed[id]
+	if !known {
+		return
+	}
+	b.Settle(now)
+	delete(b.Assumed, id)
+	if !a.Restarted {
+		b.Level += assumed.Tokens
+	}
+}
+
+// Charge charges what the host accepted since its last report. It must follow Confirm, and be followed by Bound.
+func (b *Bucket) Charge(now time.Time, id string, u Usage, a Arrival) {
+	b.Settle(now)
+	last, known := b.Reported[id]
+	b.Reported[id] = u
+	switch {
+	case known && last.Incarnation == u.Incarnation && last.Since == u.Since:
+		b.Level -= u.Used - last.Used
+	case !a.First && (a.Restarted || u.Since > a.LastSequence):
+		b.Level -= u.Used
+	default:
+		// The report covers a time of which this host knows nothing.
+		b.Level = min(b.Level, u.Level)
+	}
+}
+
+// Bound keeps the level between the largest debt and the burst. Overuse by hosts in touch remains a debt, which keeps the
+// rate exact in the long run.
+func (b *Bucket) Bound(t Tolerance, a Arrival) {
+	lowest := -t.Allowance(b.Quota)
+	if a.Silence <= maxSilence {
+		lowest -= float64(b.Quota.Burst)
+	}
+	b.Level = min(max(b.Level, lowest), float64(b.Quota.Burst))
+	b.dropLowerPeaks(b.Level)
+}
--- /dev/null
+++ b/internal/decide/quota/spenders.go
@@ -0,0 +1,144 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"egretline.example/egretline/pkg/fleet"
+)
+
+const (
+	// FormerEntryDuration is how long the part of a host that was an entry host stays set aside. Callers may use a host for
+	// three times as long as a directory response is valid, and for longer if they get no new one.
+	FormerEntryDuration = 60 * time.Second
+	// leavingDuration is how long the part of a leaving host stays set aside. Such a host refuses requests after 2.5 s.
+	leavingDuration = 6 * time.Second
+	// maxAlone is how long a host that hears no other one keeps their parts set aside.
+	maxAlone = 10 * time.Minute
+	// unreservedFactor reduces the part of a host for which the others may set nothing aside, to what the tolerance covers.
+	unreservedFactor = 4
+	// settleDuration is how long after its start a host counts at least the hosts that its settings name.
+	settleDuration = 5 * time.Second
+)
+
+// Membership is what a host knows of the hosts that may accept requests.
+type Membership struct {
+	// Hosts holds the other hosts by ID.
+	Hosts map[string]*Host
+	// StartedAt is when the process started, and Seeds the number of other hosts that its settings name.
+	StartedAt time.Time
+	Seeds     int
+	// FirstStart is set if all hosts have started for the first time.
+	FirstStart bool
+	// HeardAt is the time of the last report from any host, or the start of the process.
+	HeardAt time.Time
+	// InformedSince is the time since which this host was told what others accept: the start of the process, or the first
+	// report after FormerEntryDuration without any.
+	InformedSince time.Time
+}
+
+// Spenders returns the other hosts that may accept requests, sorted by ID. A host that has heard no other one for
+// FormerEntryDuration, or since its start, counts unreservedFactor times as many.
+func (m *Membership) Spenders(now time.Time) Spenders {
+	var s Spenders
+	alone := now.Sub(m.HeardAt)
+	for id, h := range m.Hosts {
+		if h.maySpend(now, alone) {
+			s.Hosts = append(s.Hosts, id)
+		}
+	}
+	slices.Sort(s.Hosts)
+	if alone > maxAlone {
+		return s
+	}
+	if !m.FirstStart && (now.Sub(m.StartedAt) < settleDuration || m.neverHeard()) {
+		s.Unknown = max(0, m.Seeds-len(s.Hosts))
+	}
+	if m.unreserved(now) {
+		s.Unknown += (unreservedFactor - 1) * s.Count()
+	}
+	return s
+}
+
+// unreserved reports whether the other hosts may set aside nothing for this one.
+func (m *Membership) unreserved(now time.Time) bool {
+	if !m.FirstStart && m.neverHeard() {
+		return true
+	}
+	return len(m.Hosts) > 0 && now.Sub(m.HeardAt) > FormerEntryDuration
+}
+
+// neverHeard reports whether the host has others to hear and has heard none of them since its start.
+func (m *Membership) neverHeard() bool {
+	return m.HeardAt.Equal(m.StartedAt) && m.Seeds+len(m.Hosts) > 0
+}
+
+// maySpend reports whether the host may accept requests, given how long no host was heard. Silence of all hosts does not
+// end the time for which parts are set aside, because then this host is the one that is cut off.
+func (h *Host) maySpend(now time.Time, alone time.Duration) bool {
+	if h.EntryUntil.IsZero() || alone > maxAlone {
+		return false
+	}
+	if !h.LeavingSince.IsZero() && now.Sub(h.LeavingSince) > leavingDuration {
+		return false
+	}
+	return now.Sub(h.EntryUntil) < FormerEntryDuration+alone
+}
+
+// Isolated reports whether the host has heard none of the hosts that may accept requests for longer than maxSilence.
+func (m *Membership) Isolated(now time.Time) bool {
+	return len(m.Spenders(now).Hosts) > 0 && now.Sub(m.HeardAt) > maxSilence
+}
+
+// InitialLevel returns the level of a new bucket. Without one, this host has heard of no requests of the customer. It may have
+// missed some that were accepted before it started, or while it was out of touch for so long that nothing is set aside for
+// it.
+func (m *Membership) InitialLevel(now time.Time, q fleet.Quota) float64 {
+	if m.FirstStart && m.InformedSince.Equal(m.StartedAt) {
+		return float64(q.Burst)
+	}
+	if now.Sub(m.HeardAt) > FormerEntryDuration && len(m.Spenders(now).Hosts) > 0 {
+		return 0
+	}
+	return now.Sub(m.InformedSince).Seconds() * q.RequestsPerSecond
+}
+
+// Hear records a report from the host with the ID.
+func (m *Membership) Hear(now time.Time, id string, incarnation int64, sequence uint64) (Arrival, bool) {
+	arrival, accepted := m.Host(id).Hear(now, incarnation, sequence)
+	if !accepted {
+		return arrival, false
+	}
+	if now.Sub(m.HeardAt) > FormerEntryDuration {
+		m.InformedSince = now
+	}
+	m.HeardAt = now
+	return arrival, true
+}
+
+// Host returns what is known of the host with the ID.
+func (m *Membership) Host(id string) *Host {
+	h, known := m.Hosts[id]
+	if !known {
+		h = &Host{}
+		m.Hosts[id] = h
+	}
+	return h
+}
+
+// SeeEntryHosts records the current entry hosts, without this host.
+func (m *Membership) SeeEntryHosts(now time.Time, ids []string) {
+	for _, id := range ids {
+		h := m.Host(id)
+		h.EntryUntil, h.LeavingSince = now, time.Time{}
+	}
+	for id, h := range m.Hosts {
+		last := h.EntryUntil
+		if h.HeardAt.After(last) {
+			last = h.HeardAt
+		}
+		if now.Sub(last) > maxAlone {
+			delete(m.Hosts, id)
+		}
+	}
+}
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/internal/backend/http1"
+	"egretline.example/egretline/internal/decide/quota"
 	"egretline.example/egretline/internal/front/callerconn"
 	"egretline.example/egretline/internal/front/hostfront"
 	"egretline.example/egretline/internal/http/dialect"
@@ -82,6 +83,8 @@
 	// fleet: RetryRatio as a fraction of the requests, RetryBurst as an additional number.
 	RetryRatio float64
 	RetryBurst int
+	// QuotaTolerance is how far the requests of a customer may exceed its limit for the whole fleet.
+	QuotaTolerance quota.Tolerance
 }
 
 // Log is the client of the platform's log.
@@ -172,6 +175,7 @@
 		readJitter: rand.N(maxReadJitter),
 	}
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
+	n.reports.quotas = newQuotas(t, o, n.started, logger)
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
@@ -188,6 +192,7 @@
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
 		RegistryAge:      func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
 		ConfigurationAge: func() time.Duration { return n.Replicas.Age(table.TopicConfiguration, time.Now()) },
+		Limiter:          n.reports.quotas,
 		Leaving:          n.leaving.Load, Log: logger,
 	}
 	peer := &peerserver.Server{
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -324,6 +324,7 @@
 	n.rosterCommands.SelectEntryHosts(now, n.fleetLoad())
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.Dispatcher.SetSharing(n.sharing())
+	n.reports.quotas.Sweep(now, n.otherEntryHosts())
 }
 
 // sharing returns the node's index among the entry hosts and their number. It returns the zero value on a node that is
@@ -376,6 +377,7 @@
 		return
 	}
 	n.health.Sync(time.Now(), c)
+	n.reports.quotas.Adopt(time.Now(), c)
 	if _, ready := n.Roster.Self(); !ready && n.Replicas.IsComplete(table.TopicBackendServers) {
 		n.rosterCommands.SetReady(true)
 		close(n.firstReady)
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"egretline.example/egretline/internal/customer/quotaquery"
 	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -31,6 +32,7 @@
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
 		}
+		writeQuotas(&b, now, &quotaquery.Queries{Tables: n.Tables})
 		fmt.Fprintf(&b, "entry-hosts %d\n", len(n.Roster.EntryHosts()))
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = w.Write(b.Bytes()) // a disconnected client misses one sample
--- a/internal/node/entrynode/reports.go
+++ b/internal/node/entrynode/reports.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"egretline.example/egretline/internal/customer/quotacmd"
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/pkg/fleet"
 )
@@ -27,13 +28,17 @@
 // reportExchange builds the reports of this node and takes those of others.
 type reportExchange struct {
 	sequence atomic.Uint64
+	quotas   *quotacmd.Commands
 }
 
 // ObserveReport implements peerserver.ReportObserver.
-func (*reportExchange) ObserveReport(time.Time, peerapi.Report) {}
+func (x *reportExchange) ObserveReport(now time.Time, m peerapi.Report) {
+	x.quotas.Observe(now, m)
+}
 
 // fillReport sets the sections of the report for one host, and reports whether there are any.
-func (*reportExchange) fillReport(_ time.Time, _ fleet.Host, r *peerapi.Report) bool {
+func (x *reportExchange) fillReport(now time.Time, to fleet.Host, r *peerapi.Report) bool {
+	r.Customers = x.quotas.Report(now, to.ID, r.Sequence)
 	return r.Customers != nil || r.Load != nil
 }
 
@@ -60,5 +65,7 @@
 func (n *Node) sendReport(m reportMessage) {
 	if err := n.peers.SendReport(n.peerContext, m.To.PeerAddress, m.Report); err != nil {
 		n.Logger.Debug().Err(err).Str("peer", m.To.ID).Msg("cannot send report to peer; the next one supersedes it")
+		return
 	}
+	n.reports.quotas.Delivered(m.To.ID, m.Report.Sequence, m.Report.Customers)
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -24,6 +24,7 @@
 	RankQueues
 	RankKeys
 	RankBudgets
+	RankQuotas
 	RankTraffic
 )
 
@@ -38,6 +39,7 @@
 	Keys     *guard.Guard[Keys]
 	Traffic  *guard.Guard[Traffic]
 	Budgets  *guard.Guard[Budgets]
+	Quotas   *guard.Guard[Quotas]
 }
 
 // New returns empty tables for the node on the given host.
@@ -52,6 +54,7 @@
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
 		Budgets:  guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
+		Quotas:   guard.New(RankQuotas, newQuotas()),
 	}
 }
 
