--- a/internal/front/hostfront/customer_test.go
+++ b/internal/front/hostfront/customer_test.go
@@ -119,6 +119,13 @@
 			is.New(t).Equal(len(d.Admitted), 0)
 		})
 	})
+	t.Run("a request without a route costs nothing", func(t *testing.T) {
+		l := &fakeLimiter{}
+		withCustomers(t, &fakeDispatcher{}, l, func(t *testing.T, f *fixture) {
+			assertStatus(t, f.get(t, "/none/", "Request-Id: r1", "Authorization: Bearer old"), http.StatusNotFound)
+			is.New(t).Equal(l.Taken, 0)
+		})
+	})
 	for _, c := range []struct {
 		name          string
 		result        table.Result
