Serve requests that can still meet their latency objective first

In a surge, the queue took all requests that could meet their deadline and served them in order of arrival, so nearly all of them were answered after their latency objective. A standing queue now has lanes within each rank: in time by slack, late by deadline, and due late requests get a fifth of the dispatches. Service times are estimated by route. Metrics and log lines show standing queues.

--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -328,7 +328,7 @@
 // unfinishedRequests returns the number of requests that wait in a queue, and of those that were sent to a backend server.
 func (n *Node) unfinishedRequests() (waiting, sent int) {
 	queries := &dispatchquery.Queries{Tables: n.Tables}
-	for _, depth := range queries.QueueDepths() {
+	for _, depth := range queries.QueueDepths(time.Now()) {
 		waiting += depth.Waiting
 		sent += depth.HeldSlots
 	}
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -320,12 +320,25 @@
 	}
 	n.health.Sweep(now)
 	n.Dispatcher.Sweep(now)
+	n.logStandingQueues(now)
 	n.conns.CloseExpired(now)
 	n.rosterCommands.SelectEntryHosts(now, n.fleetLoad())
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.Dispatcher.SetSharing(n.sharing())
 }
 
+// logStandingQueues logs the begin and the end of standing queues.
+func (n *Node) logStandingQueues(now time.Time) {
+	for _, c := range n.Dispatcher.StandingChanges(now) {
+		if c.Standing {
+			n.Logger.Warn().Str("service", c.Service).Int("waiting", c.Waiting).Int("late", c.Late).
+				Dur("standing-ms", now.Sub(c.Since)).Msg("service has a standing queue")
+			continue
+		}
+		n.Logger.Info().Str("service", c.Service).Dur("lasted-ms", c.Lasted).Msg("standing queue of service has ended")
+	}
+}
+
 // sharing returns the node's index among the entry hosts and their number. It returns the zero value on a node that is
 // not an entry host and receives few requests.
 func (n *Node) sharing() dispatchcmd.Sharing {
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -26,8 +26,9 @@
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.5\"} %d\n", labels, c.P50.Milliseconds())
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
 		}
-		writeDispatchCounts(&b, dispatch)
 		now := time.Now()
+		writeDispatchCounts(&b, dispatch)
+		writeQueueDepths(&b, dispatch, now)
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
 		}
@@ -57,3 +58,12 @@
 		}
 	}
 }
+
+func writeQueueDepths(b *bytes.Buffer, q *dispatchquery.Queries, now time.Time) {
+	for _, d := range q.QueueDepths(now) {
+		labels := fmt.Sprintf("{service=%q,rank=\"%d\"", d.Service, d.Rank)
+		fmt.Fprintf(b, "queue-waiting%s,lane=\"in-time\"} %d\n", labels, d.Waiting-d.WaitingLate)
+		fmt.Fprintf(b, "queue-waiting%s,lane=\"late\"} %d\n", labels, d.WaitingLate)
+		fmt.Fprintf(b, "queue-longest-wait-ms%s} %d\n", labels, d.LongestWait.Milliseconds())
+	}
+}
--- a/pkg/decide/admission/admission.go
+++ b/pkg/decide/admission/admission.go
@@ -21,6 +21,12 @@
 	Tenant   string
 	Arrived  time.Time
 	Deadline time.Time
+	// Objective is the time until which an answer has its full value; zero if only the deadline counts.
+	Objective time.Time
+	// Kind names the requests that take about the same time; used only with an objective. Push sets KindTime, the estimate
+	// of the kind.
+	Kind     string
+	KindTime *ServiceTime
 	// Attempt is the number of earlier attempts; 0 for the first attempt.
 	Attempt int
 	Payload T
@@ -41,6 +47,12 @@
 	// of mean deviations. Zero means the default. A lower value serves more requests of a burst, but more of them reach
 	// their deadline without an answer.
 	MarginDeviations float64
+	// Kinds estimates the time that requests of a kind take at a server.
+	Kinds map[string]*ServiceTime
+	// WaitingSince is the time since when requests have been waiting without a break; zero if none waits. LastDispatch is
+	// when a request last left the queue for a server.
+	WaitingSince time.Time
+	LastDispatch time.Time
 	// StopTime is when the node cancels the requests in progress because it is stopping. It is zero while the node is not
 	// stopping.
 	StopTime time.Time
@@ -54,6 +66,10 @@
 	SlotLimit float64
 	// Waiting is the number of waiting items of all tenants.
 	Waiting int
+	// Objectives is the number of waiting items with a latency objective.
+	Objectives int
+	// DueTurns is the number of dispatches that due requests have a claim to.
+	DueTurns float64
 	// Tenants maps each tenant to its waiting items, in order of arrival.
 	Tenants map[string][]Item[T]
 	// TenantOrder is the round-robin order of the tenants with waiting items; the first one is served next.
@@ -87,7 +103,11 @@
 // covers the earlier attempts. Push enforces no limit; use Offer for new requests.
 func Push[T any](q *Queue[T], i Item[T]) {
 	ensureRank(q, i.Rank)
+	setKindTime(q, &i)
 	r := &q.Ranks[i.Rank]
+	if !i.Objective.IsZero() {
+		r.Objectives++
+	}
 	if r.Tenants == nil {
 		r.Tenants = map[string][]Item[T]{}
 	}
@@ -104,6 +124,13 @@
 	r.Waiting++
 }
 
+// setKindTime sets the estimate of the item's kind, if it has an objective.
+func setKindTime[T any](q *Queue[T], i *Item[T]) {
+	if !i.Objective.IsZero() {
+		i.KindTime = q.kindTime(i.Kind)
+	}
+}
+
 // Remove removes the item with the ID from the queue of the rank and reports whether it was there.
 func Remove[T any](q *Queue[T], rank int, id string) bool {
 	if rank >= len(q.Ranks) {
@@ -114,6 +141,9 @@
 		k := slices.IndexFunc(items, func(i Item[T]) bool { return i.ID == id })
 		if k >= 0 {
 			r.removeAt(tenant, k)
+			if Waiting(q) == 0 {
+				q.WaitingSince = time.Time{}
+			}
 			return true
 		}
 	}
@@ -172,6 +202,9 @@
 	items := r.Tenants[tenant]
 	item := items[k]
 	r.Waiting--
+	if !item.Objective.IsZero() {
+		r.Objectives--
+	}
 	if k == 0 && len(items) > 1 {
 		items[0] = Item[T]{}
 		r.Tenants[tenant] = items[1:]
--- a/pkg/decide/admission/next.go
+++ b/pkg/decide/admission/next.go
@@ -28,9 +28,11 @@
 	for _, r := range dispatchOrder(q) {
 		if popFromRank(q, r, now, fits, &result) {
 			chargeDispatch(q, r)
+			q.LastDispatch = now
 			break
 		}
 	}
+	noteWaiting(q, now)
 	return result
 }
 
@@ -43,15 +45,24 @@
 func RemoveAll[T any](q *Queue[T], remove func(Item[T]) bool) []Item[T] {
 	var removed []Item[T]
 	for n := range q.Ranks {
-		r := &q.Ranks[n]
-		for _, tenant := range slices.Clone(r.TenantOrder) {
-			for k := len(r.Tenants[tenant]) - 1; k >= 0; k-- {
-				if remove(r.Tenants[tenant][k]) {
-					removed = append(removed, r.removeAt(tenant, k))
-				}
+		removed = append(removed, removeFromRank(q, n, remove)...)
+	}
+	return removed
+}
+
+func removeFromRank[T any](q *Queue[T], rank int, remove func(Item[T]) bool) []Item[T] {
+	var removed []Item[T]
+	r := &q.Ranks[rank]
+	for _, tenant := range slices.Clone(r.TenantOrder) {
+		for k := len(r.Tenants[tenant]) - 1; k >= 0; k-- {
+			if remove(r.Tenants[tenant][k]) {
+				removed = append(removed, r.removeAt(tenant, k))
 			}
 		}
 	}
+	if Waiting(q) == 0 {
+		q.WaitingSince = time.Time{}
+	}
 	return removed
 }
 
@@ -83,6 +94,9 @@
 // It reports whether there was one.
 func popFromRank[T any](q *Queue[T], rank int, now time.Time, fits func(Item[T]) bool, result *NextResult[T]) bool {
 	r := &q.Ranks[rank]
+	if r.Objectives > 0 && Standing(q, now) {
+		return popByLane(q, rank, now, fits, result)
+	}
 	for _, tenant := range slices.Clone(r.TenantOrder) {
 		for len(r.Tenants[tenant]) > 0 {
 			front := r.Tenants[tenant][0]
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -25,6 +25,11 @@
 const (
 	// DeadlineTooClose means that the request would not be answered before its deadline.
 	DeadlineTooClose Reason = "deadline-too-close"
+	// LateBacklog means that the request would be answered neither within its latency objective nor later, because of the
+	// late requests that wait already.
+	LateBacklog Reason = "late-backlog"
+	// NoProgress means that no request has left the queue for so long that the request would wait in vain.
+	NoProgress Reason = "no-progress"
 	// QueueFull means that the maximum number of requests of the rank is already waiting.
 	QueueFull Reason = "queue-full"
 	// ServersPaused means that all servers of the service asked for no requests for some time.
@@ -66,11 +71,10 @@
 func Offer[T any](q *Queue[T], i Item[T], now time.Time) ([]Item[T], error) {
 	ensureRank(q, i.Rank)
 	r := &q.Ranks[i.Rank]
+	setKindTime(q, &i)
 	wait := EstimateWait(q, i.Rank, i.Tenant)
-	if left := i.Deadline.Sub(now); left <= 0 || wait > 0 && wait+requiredTime(q, i) > left {
-		return nil, RefusedError{
-			Reason: DeadlineTooClose, Rank: i.Rank, Tenant: i.Tenant, RetryAfter: clampRetryAfter(wait + requiredTime(q, i) - left),
-		}
+	if err := refusalByDeadline(q, i, wait, now); err != nil {
+		return nil, err
 	}
 	if !fitsBeforeStop(q, i, wait, now) {
 		return nil, StoppingError(i)
@@ -84,9 +88,25 @@
 		displaced = append(displaced, r.removeAt(longest, len(r.Tenants[longest])-1))
 	}
 	Push(q, i)
+	noteWaiting(q, now)
 	return displaced, nil
 }
 
+// refusalByDeadline returns a RefusedError if the item is not expected to meet its deadline. In a standing queue, requests
+// with a latency objective are not served in order of arrival, and the wait of a new one depends on its lane.
+func refusalByDeadline[T any](q *Queue[T], i Item[T], wait time.Duration, now time.Time) error {
+	left := i.Deadline.Sub(now)
+	if left > 0 && wait > 0 && !i.Objective.IsZero() && Standing(q, now) {
+		return offerByLane(q, i, now)
+	}
+	if left <= 0 || wait > 0 && wait+requiredTime(q, i) > left {
+		return RefusedError{
+			Reason: DeadlineTooClose, Rank: i.Rank, Tenant: i.Tenant, RetryAfter: clampRetryAfter(wait + requiredTime(q, i) - left),
+		}
+	}
+	return nil
+}
+
 // EstimateWait estimates the queueing delay of a new request of the tenant in the rank: the total service time of the
 // requests served before it, divided by the rank's fraction of the slots. It returns zero while a slot is free or the
 // service time is unknown.
@@ -158,7 +178,7 @@
 
 // requiredTime returns the time that the item must have left at dispatch.
 func requiredTime[T any](q *Queue[T], i Item[T]) time.Duration {
-	return capAtHalfTimeout(i, q.Ranks[i.Rank].ServiceTime.RequiredTime(q.MarginDeviations))
+	return capAtHalfTimeout(i, serviceTime(q, &i).RequiredTime(q.MarginDeviations))
 }
 
 // HasEnoughTime reports whether the item has enough time left to be dispatched even while other requests wait.
@@ -204,7 +224,7 @@
 // time left its outcome would most likely be unknown.
 func isLate[T any](q *Queue[T], i Item[T], now time.Time) bool {
 	left := i.Deadline.Sub(now)
-	if left <= capAtHalfTimeout(i, q.Ranks[i.Rank].ServiceTime.Mean) || !fitsBeforeStop(q, i, 0, now) {
+	if left <= capAtHalfTimeout(i, serviceTime(q, &i).Mean) || !fitsBeforeStop(q, i, 0, now) {
 		return true
 	}
 	return Waiting(q) > 1 && left < requiredTime(q, i)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -21,6 +21,7 @@
 func (d *Dispatcher) Sweep(now time.Time) {
 	d.dropIdleTenants(now)
 	d.assignAllServices(now)
+	d.turnOut(now)
 }
 
 func (d *Dispatcher) dropIdleTenants(now time.Time) {
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -221,9 +221,18 @@
 }
 
 func queueItem(t *table.Ticket) admission.Item[*table.Ticket] {
-	return admission.Item[*table.Ticket]{
+	i := admission.Item[*table.Ticket]{
 		ID: t.ID, Rank: t.Rank, Tenant: t.Tenant, Arrived: t.Arrived, Deadline: t.Deadline, Attempt: t.Attempt, Payload: t,
 	}
+	if hasObjective(t) {
+		i.Objective, i.Kind = t.Arrived.Add(t.TargetLatency), t.Route
+	}
+	return i
+}
+
+// hasObjective reports whether an answer to the ticket loses value before the deadline.
+func hasObjective(t *table.Ticket) bool {
+	return t.TargetLatency > 0 && t.TargetLatency < t.Deadline.Sub(t.Arrived)
 }
 
 func queueOf(q *table.Queues, service string) *admission.Queue[*table.Ticket] {
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -143,7 +143,12 @@
 		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
 			allWorkersBusy = q.InFlight >= d.Workers
 			q.InFlight--
-			admission.ReleaseSlot(queueOf(q, a.Ticket.Service), a.Ticket.Rank, slotTime(r, now.Sub(started)))
+			queue := queueOf(q, a.Ticket.Service)
+			admission.ReleaseSlot(queue, a.Ticket.Rank, slotTime(r, now.Sub(started)))
+			if r.Evidence == fleet.Succeeded && hasObjective(a.Ticket) {
+				// A failure, which is often fast, does not show how long an answer takes.
+				admission.ObserveKind(queue, a.Ticket.Route, now.Sub(started))
+			}
 		})
 	})
 	if allWorkersBusy {
--- a/pkg/dispatchquery/explain.go
+++ b/pkg/dispatchquery/explain.go
@@ -50,7 +50,7 @@
 	r := c.Routes[n]
 	return Explanation{
 		Route: r.Name, Service: r.Service, Rank: r.Rank,
-		Sentences: slices.Concat(rankSentences(c, r), q.queueSentences(c, r), q.retrySentences(r)),
+		Sentences: slices.Concat(rankSentences(c, r), q.queueSentences(now, c, r), q.retrySentences(r)),
 		Servers:   q.explainServers(now, r.Service),
 	}, nil
 }
@@ -74,9 +74,9 @@
 	return out
 }
 
-func (q *Queries) queueSentences(c *fleet.Configuration, r fleet.Route) []string {
+func (q *Queries) queueSentences(now time.Time, c *fleet.Configuration, r fleet.Route) []string {
 	n := max(rankIndex(c, r), 0)
-	for _, d := range q.QueueDepths() {
+	for _, d := range q.QueueDepths(now) {
 		if d.Service != r.Service || d.Rank != n {
 			continue
 		}
--- a/pkg/dispatchquery/queries.go
+++ b/pkg/dispatchquery/queries.go
@@ -21,10 +21,14 @@
 
 // RankDepth is the number of waiting and running requests of one rank for one service, with its timing.
 type RankDepth struct {
-	Service   string
-	Rank      int
-	Waiting   int
-	HeldSlots int
+	Service string
+	Rank    int
+	Waiting int
+	// WaitingLate is the number of waiting requests that will miss their latency objective, and LongestWait the time for
+	// which the oldest one has been waiting.
+	WaitingLate int
+	LongestWait time.Duration
+	HeldSlots   int
 	// MaxHeldSlots is the number of slots that the rank may hold.
 	MaxHeldSlots int
 	// ExpectedWait is the queueing delay of a new request from a tenant without waiting requests.
@@ -34,12 +38,12 @@
 }
 
 // QueueDepths returns the depths of all queues, sorted by service and rank.
-func (q *Queries) QueueDepths() []RankDepth {
+func (q *Queries) QueueDepths(now time.Time) []RankDepth {
 	var list []RankDepth
 	q.Tables.Queues.Read(guard.Held{}, func(_ guard.Held, v *table.Queues) {
 		for name, queue := range v.Services {
 			for r := range queue.Ranks {
-				list = append(list, rankDepth(name, queue, r))
+				list = append(list, rankDepth(name, queue, r, now))
 			}
 		}
 	})
@@ -49,10 +53,12 @@
 	return list
 }
 
-func rankDepth(service string, queue *admission.Queue[*table.Ticket], rank int) RankDepth {
+func rankDepth(service string, queue *admission.Queue[*table.Ticket], rank int, now time.Time) RankDepth {
 	r := queue.Ranks[rank]
+	lanes := admission.CountLanes(queue, rank, now)
 	return RankDepth{
-		Service: service, Rank: rank, Waiting: r.Waiting, HeldSlots: r.Held, MaxHeldSlots: admission.MaxHeld(queue, rank),
+		Service: service, Rank: rank, Waiting: r.Waiting, WaitingLate: lanes.Late, LongestWait: lanes.LongestWait,
+		HeldSlots: r.Held, MaxHeldSlots: admission.MaxHeld(queue, rank),
 		ExpectedWait: admission.EstimateWait(queue, rank, ""), ServiceTime: r.ServiceTime.Mean,
 	}
 }
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -22,6 +22,8 @@
 	// StopTime is the value of admission.Queue.StopTime for all queues.
 	StopTime time.Time
 	Counts   map[CountKey]*Counts
+	// Standing holds the services that were reported to have a standing queue, and since when.
+	Standing map[string]time.Time
 	// Splits holds the state of the weighted split of each route with several services, by route name.
 	Splits map[string]*split.State
 }
@@ -64,6 +66,7 @@
 		Services: map[string]*admission.Queue[*Ticket]{},
 		Tenants:  map[TenantRank]*admission.TenantUsage{},
 		Counts:   map[CountKey]*Counts{},
+		Standing: map[string]time.Time{},
 		Splits:   map[string]*split.State{},
 	}
 }
