--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -11,10 +11,12 @@
 	maxRequiredFraction = 0.75
 	// dueFraction is the fraction of a late request's time, counted back from the last moment at which it can be
 	// dispatched, in which it is due.
-	dueFraction = 0.2
+	dueFraction = 0.3
 	// dueDispatchFraction is the fraction of dispatches that due requests get while requests in time wait. Without it, all
 	// late requests of a surge that lasts nearly as long as their deadline end unserved, after the longest wait.
-	dueDispatchFraction = 0.2
+	dueDispatchFraction = 0.1
+	// spareFraction is the fraction of its objective that a request in time must have as slack to let a due one go first.
+	spareFraction = 0.15
 	// maxDueTurns bounds the turns that due requests can save up.
 	maxDueTurns = 4
 	// lateCapacityFraction is the fraction of the capacity that a late request counts on until its deadline. The rest goes
@@ -111,9 +113,18 @@
 	inTime, late, due int
 }
 
-// laneTurns returns the turn of each tenant of the rank, in round-robin order, and whether any item is late.
-func laneTurns[T any](q *Queue[T], r *RankQueue[T], now time.Time) (turns []laneTurn, anyLate bool) {
-	turns = make([]laneTurn, 0, len(r.TenantOrder))
+// laneSummary describes the waiting items of a rank.
+type laneSummary struct {
+	// anyLate reports whether any item is late or due.
+	anyLate bool
+	// spare reports whether all items in time have slack to spare, so that a late one can go before them.
+	spare bool
+}
+
+// laneTurns returns the turn of each tenant of the rank, in round-robin order.
+func laneTurns[T any](q *Queue[T], r *RankQueue[T], now time.Time) ([]laneTurn, laneSummary) {
+	turns := make([]laneTurn, 0, len(r.TenantOrder))
+	summary := laneSummary{spare: true}
 	for _, tenant := range r.TenantOrder {
 		t := laneTurn{tenant: tenant, inTime: -1, late: -1, due: -1}
 		items := r.Tenants[tenant]
@@ -128,6 +139,9 @@
 			}
 			switch lane {
 			case InTime:
+				if float64(s) < spareFraction*float64(i.Objective.Sub(i.Arrived)) {
+					summary.spare = false
+				}
 				if t.inTime < 0 || s < leastSlack {
 					t.inTime, leastSlack = k, s
 				}
@@ -141,23 +155,27 @@
 			case Hopeless: // removed by TurnOut
 			}
 		}
-		anyLate = anyLate || t.late >= 0
+		summary.anyLate = summary.anyLate || t.late >= 0
 		turns = append(turns, t)
 	}
-	return turns, anyLate
+	return turns, summary
 }
 
 // popByLane removes the next item of a rank in a standing queue: a due item if it is their turn, else the one in time with
 // the least slack, else the late one with the earliest deadline. In each lane the tenants take turns.
 func popByLane[T any](q *Queue[T], rank int, now time.Time, fits func(Item[T]) bool, result *NextResult[T]) bool {
 	r := &q.Ranks[rank]
-	turns, anyLate := laneTurns(q, r, now)
-	if r.DueTurns >= 1 && r.popFirst(turns, func(t laneTurn) int { return t.due }, fits, result) {
+	turns, summary := laneTurns(q, r, now)
+	due := func(t laneTurn) int { return t.due }
+	if summary.spare && r.popFirst(turns, due, fits, result) {
+		return true
+	}
+	if r.DueTurns >= 1 && r.popFirst(turns, due, fits, result) {
 		r.DueTurns--
 		return true
 	}
 	if r.popFirst(turns, func(t laneTurn) int { return t.inTime }, fits, result) {
-		if anyLate {
+		if summary.anyLate {
 			r.DueTurns = min(r.DueTurns+dueDispatchFraction/(1-dueDispatchFraction), maxDueTurns)
 		}
 		return true
