--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -19,9 +19,6 @@
 	spareFraction = 0.15
 	// maxDueTurns bounds the turns that due requests can save up.
 	maxDueTurns = 4
-	// lateCapacityFraction is the fraction of the capacity that a late request counts on until its deadline. The rest goes
-	// to requests in time.
-	lateCapacityFraction = 0.5
 )
 
 // Lane is the order in which a waiting request of a standing queue is served. Lanes answer a surge in which the servers
@@ -209,7 +206,7 @@
 	if time.Duration(inTime/capacity) <= slack(q, &i, now) {
 		return nil
 	}
-	wait := time.Duration(late / (capacity * lateCapacityFraction))
+	wait := time.Duration(late / capacity)
 	left := i.Deadline.Sub(now) - requiredTime(q, i)
 	if wait <= left {
 		return nil
