--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -6,6 +6,8 @@
 	// StandingAfter is the time for which requests must have been waiting without a break until the queue counts as
 	// standing. Shorter queues come from the variation of arrivals and drain by themselves.
 	StandingAfter = 200 * time.Millisecond
+	// laneDeviations is the number of mean deviations of its service time that a request must have as slack to be in time.
+	laneDeviations = 1
 	// maxRequiredFraction bounds the time that a request is assumed to need by a fraction of its latency objective, so that
 	// a wrong or high estimate never makes a request late on arrival.
 	maxRequiredFraction = 0.75
@@ -80,7 +82,7 @@
 	if objective.IsZero() {
 		objective = i.Deadline
 	}
-	required := serviceTime(q, i).RequiredTime(q.MarginDeviations)
+	required := serviceTime(q, i).RequiredTime(laneDeviations)
 	longest := time.Duration(maxRequiredFraction * float64(objective.Sub(i.Arrived)))
 	return objective.Sub(now) - min(required, longest)
 }
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -319,14 +319,9 @@
 const minClosedFraction = 0.2
 
 // canWaitForClosed reports whether the ticket should wait for a server with a closed circuit breaker instead of going
-// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left, or a quarter if
-// it has a latency objective.
+// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left.
 func canWaitForClosed(p servicePool, t *table.Ticket, now time.Time) bool {
-	lastResort := t.Deadline.Sub(t.Arrived) / 2
-	if hasObjective(t) {
-		lastResort /= 2 // late requests of a surge wait long, and would all go to failing servers after half of their time
-	}
-	if t.Deadline.Sub(now) < lastResort {
+	if t.Deadline.Sub(now) < t.Deadline.Sub(t.Arrived)/2 {
 		return false
 	}
 	closed, usable := 0, 0
