--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 # Prints results of failure detection and dispatch beside their baselines. The same seed gives the same figures.
 measure:
-	go test -count=1 -timeout 5m -run 'Health|Dispatch' -v ./pkg/measure
+	go test -count=1 -timeout 5m -run 'Health|Dispatch|Surge' -v ./pkg/measure
 
 # Runs the fault soak with SEEDS consecutive seeds on a fleet of NODES processes. FIRST defaults to the current Unix time.
 SEEDS ?= 10
--- a/pkg/decide/admission/load_test.go
+++ b/pkg/measure/surge.go
@@ -1,4 +1,4 @@
-package admission
+package measure
 
 import (
 	"cmp"
@@ -8,10 +8,12 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"egretline.example/egretline/pkg/decide/admission"
 )
 
-// kind describes requests of one route in a played load. Weight is their fraction of all requests.
-type kind struct {
+// surgeKind describes requests of one route in a played load. Weight is their fraction of all requests.
+type surgeKind struct {
 	Name                string
 	Work                time.Duration
 	Objective, Deadline time.Duration
@@ -26,7 +28,7 @@
 
 // playedLoad is a load on the slots of one service at one node, in virtual time. Outside of its surge, demand is calm.
 type playedLoad struct {
-	Kinds []kind
+	Kinds []surgeKind
 	Calm  float64
 	Surge surge
 	Until time.Duration
@@ -53,72 +55,72 @@
 // scheduler is a way to order and refuse requests.
 type scheduler interface {
 	// offer queues the item, or reports that it is refused.
-	offer(i Item[*played], now time.Time) bool
+	offer(i admission.Item[*played], now time.Time) bool
 	// next returns the item to run, if any, and those that are turned out.
-	next(now time.Time) (i Item[*played], found bool, out []Item[*played])
+	next(now time.Time) (i admission.Item[*played], found bool, out []admission.Item[*played])
 	// requeue queues an item whose attempt failed.
-	requeue(i Item[*played])
+	requeue(i admission.Item[*played])
 	// done tells that an item has held a slot for the time.
-	done(i Item[*played], took time.Duration, failed bool)
+	done(i admission.Item[*played], took time.Duration, failed bool)
 }
 
 // queueScheduler plays the load on a Queue, with or without the latency objectives of the requests.
 type queueScheduler struct {
-	Queue        *Queue[*played]
+	Queue        *admission.Queue[*played]
 	NoObjectives bool
 	swept        time.Time
 }
 
-func (s *queueScheduler) offer(i Item[*played], now time.Time) bool {
+func (s *queueScheduler) offer(i admission.Item[*played], now time.Time) bool {
 	if s.NoObjectives {
 		i.Objective = time.Time{}
 	}
-	displaced, err := Offer(s.Queue, i, now)
+	displaced, err := admission.Offer(s.Queue, i, now)
 	for _, d := range displaced {
 		d.Payload.Ended = now
 	}
 	return err == nil
 }
 
-func (s *queueScheduler) next(now time.Time) (Item[*played], bool, []Item[*played]) {
-	n := Next(s.Queue, now, nil)
+func (s *queueScheduler) next(now time.Time) (admission.Item[*played], bool, []admission.Item[*played]) {
+	n := admission.Next(s.Queue, now, nil)
 	if now.Sub(s.swept) > 200*time.Millisecond {
 		s.swept = now
-		for _, t := range TurnOut(s.Queue, now) {
+		for _, t := range admission.TurnOut(s.Queue, now) {
 			n.Late = append(n.Late, t.Item)
 		}
 	}
 	return n.Item, n.Found, n.Late
 }
 
-func (s *queueScheduler) requeue(i Item[*played]) { Push(s.Queue, i) }
+func (s *queueScheduler) requeue(i admission.Item[*played]) { admission.Push(s.Queue, i) }
 
-func (s *queueScheduler) done(i Item[*played], took time.Duration, failed bool) {
-	ReleaseSlot(s.Queue, i.Rank, took)
+func (s *queueScheduler) done(i admission.Item[*played], took time.Duration, failed bool) {
+	admission.ReleaseSlot(s.Queue, i.Rank, took)
 	if !failed {
-		ObserveKind(s.Queue, i.Kind, took)
+		admission.ObserveKind(s.Queue, i.Kind, took)
 	}
 }
 
 // listScheduler serves the waiting request with the lowest key, the tenants in turn. It refuses on arrival what the
 // backlog would make miss its deadline, as Offer does without objectives.
 type listScheduler struct {
-	// Key orders the requests. standing reports whether requests have been waiting for StandingAfter.
-	Key func(i Item[*played], standing bool, now time.Time) float64
+	// Key orders the requests. standing reports whether requests have been waiting for admission.StandingAfter.
+	Key func(i admission.Item[*played], standing bool, now time.Time) float64
 	// DropAfterObjective makes a standing queue drop what misses its objective.
 	DropAfterObjective bool
-	waiting            []Item[*played]
-	times              [8]ServiceTime
+	waiting            []admission.Item[*played]
+	times              [8]admission.ServiceTime
 	turn               [playedTenants]int
 	turns, held        int
 	emptyAt            time.Time
 }
 
-func (s *listScheduler) required(i Item[*played]) time.Duration {
+func (s *listScheduler) required(i admission.Item[*played]) time.Duration {
 	return s.times[i.Payload.Kind].RequiredTime(2)
 }
 
-func (s *listScheduler) offer(i Item[*played], now time.Time) bool {
+func (s *listScheduler) offer(i admission.Item[*played], now time.Time) bool {
 	var work time.Duration
 	for _, w := range s.waiting {
 		work += s.times[w.Payload.Kind].Mean
@@ -130,8 +132,8 @@
 	return true
 }
 
-func (s *listScheduler) next(now time.Time) (i Item[*played], found bool, out []Item[*played]) {
-	standing := now.Sub(s.emptyAt) >= StandingAfter
+func (s *listScheduler) next(now time.Time) (i admission.Item[*played], found bool, out []admission.Item[*played]) {
+	standing := now.Sub(s.emptyAt) >= admission.StandingAfter
 	kept := s.waiting[:0]
 	for _, w := range s.waiting {
 		left := w.Deadline.Sub(now)
@@ -149,20 +151,20 @@
 		s.emptyAt = now
 		return i, false, out
 	}
-	best := slices.MinFunc(kept, func(a, b Item[*played]) int {
+	best := slices.MinFunc(kept, func(a, b admission.Item[*played]) int {
 		return cmp.Or(-cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(s.turn[a.Payload.Tenant], s.turn[b.Payload.Tenant]),
 			cmp.Compare(s.Key(a, standing, now), s.Key(b, standing, now)))
 	})
 	s.turns++
 	s.turn[best.Payload.Tenant] = s.turns
 	s.held++
-	s.waiting = slices.DeleteFunc(kept, func(w Item[*played]) bool { return w.Payload == best.Payload })
+	s.waiting = slices.DeleteFunc(kept, func(w admission.Item[*played]) bool { return w.Payload == best.Payload })
 	return best, true, out
 }
 
-func (s *listScheduler) requeue(i Item[*played]) { s.waiting = append(s.waiting, i) }
+func (s *listScheduler) requeue(i admission.Item[*played]) { s.waiting = append(s.waiting, i) }
 
-func (s *listScheduler) done(i Item[*played], took time.Duration, failed bool) {
+func (s *listScheduler) done(i admission.Item[*played], took time.Duration, failed bool) {
 	s.held--
 	if !failed {
 		s.times[i.Payload.Kind].Observe(took)
@@ -172,7 +174,7 @@
 type runningHeap []runningPlayed
 
 type runningPlayed struct {
-	Item[*played]
+	admission.Item[*played]
 	Until  time.Time
 	Took   time.Duration
 	Failed bool
@@ -204,7 +206,7 @@
 		}
 		at += time.Duration(random.ExpFloat64() * meanWork / (demand * playedSlots) * float64(time.Second))
 		p := &played{
-			Tenant: int(playedTenants * math.Pow(random.Float64(), 3)), Arrived: start.Add(at), Fails: random.Float64() < failedFirst,
+			Tenant: int(playedTenants * math.Pow(random.Float64(), 3)), Arrived: epoch.Add(at), Fails: random.Float64() < failedFirst,
 		}
 		for x := random.Float64(); p.Kind < len(l.Kinds)-1 && x > l.Kinds[p.Kind].Weight; p.Kind++ {
 			x -= l.Kinds[p.Kind].Weight
@@ -239,7 +241,7 @@
 		if next < len(list) && (len(running) == 0 || list[next].Arrived.Before(running[0].Until)) {
 			p, k := list[next], l.Kinds[list[next].Kind]
 			next++
-			i := Item[*played]{
+			i := admission.Item[*played]{
 				ID: strconv.Itoa(next), Tenant: strconv.Itoa(p.Tenant), Kind: k.Name, Arrived: p.Arrived,
 				Objective: p.Arrived.Add(k.Objective), Deadline: p.Arrived.Add(k.Deadline), Payload: p,
 			}
@@ -286,7 +288,7 @@
 		default:
 			value = 0.1
 		}
-		window := int(p.Arrived.Sub(start) / (2 * time.Second))
+		window := int(p.Arrived.Sub(epoch) / (2 * time.Second))
 		byWindow[window] = append(byWindow[window], value)
 		byKind[p.Kind] = append(byKind[p.Kind], value)
 		byTenant[p.Tenant] = append(byTenant[p.Tenant], value)
