--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -23,25 +23,25 @@
 	maxDueTurns = 4
 )
 
-// Lane is the order in which a waiting request of a standing queue is served. Lanes answer a surge in which the servers
+// lane is the order in which a waiting request of a standing queue is served. Lanes answer a surge in which the servers
 // can answer many requests within their latency objective, but in order of arrival all of them would be late.
-type Lane int
+type lane int
 
 // Lanes of a rank. Requests in time go first, those with the least slack first within a customer. Late requests follow by
 // deadline, and get a part of the dispatches when they are due.
 const (
-	// InTime means that the request can still be answered within its latency objective.
-	InTime Lane = iota
-	// Late means that the request has missed its latency objective but not its deadline.
-	Late
-	// Due means that a late request must be dispatched soon to meet its deadline.
-	Due
-	// Hopeless means that the request can no longer meet its deadline, or be answered before the node stops.
-	Hopeless
+	// laneInTime means that the request can still be answered within its latency objective.
+	laneInTime lane = iota
+	// laneLate means that the request has missed its latency objective but not its deadline.
+	laneLate
+	// laneDue means that a late request must be dispatched soon to meet its deadline.
+	laneDue
+	// laneHopeless means that the request can no longer meet its deadline, or be answered before the node stops.
+	laneHopeless
 )
 
-// Standing reports whether requests have been waiting for so long that the queue does not drain by itself.
-func Standing[T any](q *Queue[T], now time.Time) bool {
+// isStanding reports whether requests have been waiting for so long that the queue does not drain by itself.
+func isStanding[T any](q *Queue[T], now time.Time) bool {
 	return !q.WaitingSince.IsZero() && now.Sub(q.WaitingSince) >= StandingAfter
 }
 
@@ -88,21 +88,21 @@
 }
 
 // laneOf returns the lane of the item, whose slack is given.
-func laneOf[T any](q *Queue[T], i *Item[T], slack time.Duration, now time.Time) Lane {
+func laneOf[T any](q *Queue[T], i *Item[T], slack time.Duration, now time.Time) lane {
 	if !fitsBeforeStop(q, *i, 0, now) {
-		return Hopeless
+		return laneHopeless
 	}
 	if slack > 0 {
-		return InTime
+		return laneInTime
 	}
 	left := i.Deadline.Sub(now)
 	switch {
 	case isLate(q, *i, now):
-		return Hopeless
+		return laneHopeless
 	case float64(left-requiredTime(q, *i)) < dueFraction*float64(i.Deadline.Sub(i.Arrived)):
-		return Due
+		return laneDue
 	default:
-		return Late
+		return laneLate
 	}
 }
 
@@ -131,27 +131,27 @@
 		for k := range items {
 			i := &items[k]
 			s := slack(q, i, now)
-			lane := laneOf(q, i, s, now)
-			if i.Attempt > 0 && lane != Hopeless {
+			l := laneOf(q, i, s, now)
+			if i.Attempt > 0 && l != laneHopeless {
 				t.inTime = k // a retry keeps its place at the front
 				break
 			}
-			switch lane {
-			case InTime:
+			switch l {
+			case laneInTime:
 				if float64(s) < spareFraction*float64(i.Objective.Sub(i.Arrived)) {
 					summary.spare = false
 				}
 				if t.inTime < 0 || s < leastSlack {
 					t.inTime, leastSlack = k, s
 				}
-			case Due, Late:
+			case laneDue, laneLate:
 				if t.late < 0 || i.Deadline.Before(items[t.late].Deadline) {
 					t.late = k
 				}
-				if lane == Due && (t.due < 0 || i.Deadline.Before(items[t.due].Deadline)) {
+				if l == laneDue && (t.due < 0 || i.Deadline.Before(items[t.due].Deadline)) {
 					t.due = k
 				}
-			case Hopeless: // removed by TurnOut
+			case laneHopeless: // removed by TurnOut
 			}
 		}
 		summary.anyLate = summary.anyLate || t.late >= 0
--- a/pkg/decide/admission/next.go
+++ b/pkg/decide/admission/next.go
@@ -94,7 +94,7 @@
 // It reports whether there was one.
 func popFromRank[T any](q *Queue[T], rank int, now time.Time, fits func(Item[T]) bool, result *NextResult[T]) bool {
 	r := &q.Ranks[rank]
-	if r.Objectives > 0 && Standing(q, now) {
+	if r.Objectives > 0 && isStanding(q, now) {
 		return popByLane(q, rank, now, fits, result)
 	}
 	for _, tenant := range slices.Clone(r.TenantOrder) {
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -96,7 +96,7 @@
 // with a latency objective are not served in order of arrival, and the wait of a new one depends on its lane.
 func refusalByDeadline[T any](q *Queue[T], i Item[T], wait time.Duration, now time.Time) error {
 	left := i.Deadline.Sub(now)
-	if left > 0 && wait > 0 && !i.Objective.IsZero() && Standing(q, now) {
+	if left > 0 && wait > 0 && !i.Objective.IsZero() && isStanding(q, now) {
 		return offerByLane(q, i, now)
 	}
 	if left <= 0 || wait > 0 && wait+requiredTime(q, i) > left {
--- a/pkg/measure/surge.go
+++ b/pkg/measure/surge.go
@@ -109,11 +109,13 @@
 	Key func(i admission.Item[*played], standing bool, now time.Time) float64
 	// DropAfterObjective makes a standing queue drop what misses its objective.
 	DropAfterObjective bool
-	waiting            []admission.Item[*played]
-	times              [8]admission.ServiceTime
-	turn               [playedTenants]int
-	turns, held        int
-	emptyAt            time.Time
+	// Lanes makes requests that will miss their objective go last, by deadline.
+	Lanes       bool
+	waiting     []admission.Item[*played]
+	times       [8]admission.ServiceTime
+	turn        [playedTenants]int
+	turns, held int
+	emptyAt     time.Time
 }
 
 func (s *listScheduler) required(i admission.Item[*played]) time.Duration {
@@ -152,8 +154,13 @@
 		return i, false, out
 	}
 	best := slices.MinFunc(kept, func(a, b admission.Item[*played]) int {
-		return cmp.Or(-cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(s.turn[a.Payload.Tenant], s.turn[b.Payload.Tenant]),
-			cmp.Compare(s.Key(a, standing, now), s.Key(b, standing, now)))
+		lateA, lateB := s.late(a, now), s.late(b, now)
+		byKey := cmp.Compare(s.Key(a, standing, now), s.Key(b, standing, now))
+		if lateA && lateB {
+			byKey = a.Deadline.Compare(b.Deadline)
+		}
+		return cmp.Or(-cmp.Compare(a.Attempt, b.Attempt), compareBool(lateA, lateB),
+			cmp.Compare(s.turn[a.Payload.Tenant], s.turn[b.Payload.Tenant]), byKey)
 	})
 	s.turns++
 	s.turn[best.Payload.Tenant] = s.turns
@@ -162,6 +169,22 @@
 	return best, true, out
 }
 
+func (s *listScheduler) late(i admission.Item[*played], now time.Time) bool {
+	return s.Lanes && i.Objective.Sub(now) < s.required(i)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func (s *listScheduler) requeue(i admission.Item[*played]) { s.waiting = append(s.waiting, i) }
 
 func (s *listScheduler) done(i admission.Item[*played], took time.Duration, failed bool) {
--- a/pkg/measure/surge_test.go
+++ b/pkg/measure/surge_test.go
@@ -45,6 +45,10 @@
 	{"calm", playedLoad{patientKinds(), 0.7, surge{}, 20 * time.Second}},
 }
 
+func arrivalOrder(i admission.Item[*played], _ bool, _ time.Time) float64 {
+	return float64(i.Arrived.UnixNano())
+}
+
 func newestFirst(i admission.Item[*played], standing bool, _ time.Time) float64 {
 	if standing {
 		return -float64(i.Arrived.UnixNano())
@@ -68,6 +72,8 @@
 				}}},
 				{"newest first", &listScheduler{Key: newestFirst}},
 				{"newest first, controlled delay", &listScheduler{Key: newestFirst, DropAfterObjective: true}},
+				{"two lanes, arrival order", &listScheduler{Lanes: true, Key: arrivalOrder}},
+				{"two lanes, newest first", &listScheduler{Lanes: true, Key: newestFirst}},
 				{"lanes", playedQueue(false)},
 			} {
 				m := l.Load.measure(l.Load.play(w.s))
