--- a/pkg/dispatchcmd/standing_test.go
+++ b/pkg/dispatchcmd/standing_test.go
@@ -93,3 +93,32 @@
 		})
 	})
 }
+
+// Guards against late requests of a surge that all end at failing servers, and against waiting for sound servers that do
+// not get to them.
+func TestLateRequestWaitsForSoundServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		objective, backlog, left time.Duration
+		want                     bool
+	}{
+		"half of the time is left":                {time.Second, time.Hour, 3 * time.Second, true},
+		"the backlog is below the time left":      {time.Second, 2 * time.Second, 2500 * time.Millisecond, true},
+		"the backlog is too long":                 {time.Second, 3 * time.Second, 2500 * time.Millisecond, false},
+		"a quarter of the time is left":           {time.Second, 0, 1500 * time.Millisecond, false},
+		"the request has only a deadline":         {0, 0, 2500 * time.Millisecond, false},
+		"the objective is not below the deadline": {6 * time.Second, 0, 2500 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, 8, 2, func(is *is.I, f *fixture) {
+				f.recordFastFailure("s1", 0)
+				request := f.objectiveTicket(nil)
+				request.TargetLatency = c.objective
+				f.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+					p := servicePool{Servers: b.Services[service], Backlog: c.backlog}
+					is.Equal(canWaitForClosed(p, request, request.Deadline.Add(-c.left)), c.want)
+				})
+				f.roundTrip(f.ticket("a", time.Minute, &fakeRunner{})) // assertSettled expects a queue
+			})
+		})
+	}
+}
