--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -21,6 +21,7 @@
 func (d *Dispatcher) Sweep(now time.Time) {
 	d.dropIdleTenants(now)
 	d.assignAllServices(now)
+	d.turnOut(now)
 }
 
 func (d *Dispatcher) dropIdleTenants(now time.Time) {
@@ -330,9 +331,13 @@
 const minClosedFraction = 0.2
 
 // canWaitForClosed reports whether the ticket should wait for a server with a closed circuit breaker instead of going
-// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left.
+// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left, or a quarter if
+// it has a latency objective and the backlog is below the time left. Late requests of a surge wait long, and would
+// otherwise end at failing servers although servers with a closed breaker get to them in time.
 func canWaitForClosed(p servicePool, t *table.Ticket, now time.Time) bool {
-	if t.Deadline.Sub(now) < t.Deadline.Sub(t.Arrived)/2 {
+	total, left := t.Deadline.Sub(t.Arrived), t.Deadline.Sub(now)
+	waitsLate := hasObjective(t) && left > total/4 && p.Backlog < left
+	if left < total/2 && !waitsLate {
 		return false
 	}
 	closed, usable := 0, 0
