Answer reports, and set nothing aside for hosts that were entry hosts for a moment

Hosts that are no entry hosts sent reports all the time. With six hosts the way of two reports was too long for a customer that uses one of them. Change: short-lived entry hosts count while they are listed, other hosts report only what they accepted, and a report is answered by one.

--- a/internal/customer/quotacmd/fleet_test.go
+++ b/internal/customer/quotacmd/fleet_test.go
@@ -46,12 +46,12 @@
 	due    float64
 }
 
-// message is a report under way, or the confirmation of one.
+// message is a report under way, or the answer to one.
 type message struct {
 	At       time.Time
 	From, To int
-	Report   peerapi.Report
-	Confirms bool
+	// Report is a report, and Answer the one with which the receiver answered it; its ID is empty in the first direction.
+	Report, Answer peerapi.Report
 }
 
 // testFleet drives the commands of several hosts in virtual time, with one customer.
@@ -186,14 +186,18 @@
 		if k == i || !to.Up || to.Side != h.Side {
 			continue
 		}
-		h.Sequence++
-		r := peerapi.Report{From: peerapi.Host{ID: h.ID}, Incarnation: h.Incarnation, Sequence: h.Sequence}
+		r := f.newReport(h)
 		if r.Customers = h.Report(f.Now, to.ID, r.Sequence); r.Customers != nil {
 			f.send(message{From: i, To: k, Report: r})
 		}
 	}
 }
 
+func (*testFleet) newReport(h *testHost) peerapi.Report {
+	h.Sequence++
+	return peerapi.Report{From: peerapi.Host{ID: h.ID}, Incarnation: h.Incarnation, Sequence: h.Sequence}
+}
+
 func (f *testFleet) send(m message) {
 	copies := 1
 	if f.Random.Float64() < f.Repeat {
@@ -217,13 +221,16 @@
 		case m.At.After(f.Now) || to.Frozen && to.Up:
 			f.pending = append(f.pending, m)
 		case !to.Up || to.Side != from.Side:
-		case m.Confirms:
+		case m.Answer.From.ID != "":
 			if to.Incarnation == m.Report.Incarnation {
 				to.Delivered(from.ID, m.Report.Sequence, m.Report.Customers)
+				to.Observe(f.Now, m.Answer)
 			}
 		default:
 			to.Observe(f.Now, m.Report)
-			f.send(message{From: m.To, To: m.From, Report: m.Report, Confirms: true})
+			answer := f.newReport(to)
+			answer.Customers = to.Answer(f.Now, from.ID, answer.Sequence)
+			f.send(message{From: m.To, To: m.From, Report: m.Report, Answer: answer})
 		}
 	}
 }
--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -140,37 +140,62 @@
 func (c *Commands) Report(now time.Time, id string, sequence uint64) (section *peerapi.CustomerUsage) {
 	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
 		q.Sequence = max(q.Sequence, sequence)
-		h := q.Membership.Host(id)
-		if !reportDue(q, h, now) {
-			return
+		if h := q.Membership.Host(id); reportDue(q, h, now) {
+			h.SentAt = now
+			section = changedCustomers(q, now, h)
 		}
-		h.SentAt = now
-		section = &peerapi.CustomerUsage{}
-		for name := range q.Unreported {
-			b := q.Buckets[name]
-			if b.Changed <= h.Delivered {
-				continue
-			}
-			if len(section.Customers) == peerapi.MaxCustomers {
-				section.Partial = true
-				break
-			}
-			b.ConfirmAll(now, &q.Membership, q.Tolerance)
-			b.Settle(now)
-			section.Customers = append(section.Customers, peerapi.CustomerTotal{
-				Name: name, Since: b.Since, Used: b.Used, Level: b.Level,
-			})
+	})
+	return section
+}
+
+// Answer returns the section with which a report of the host is answered, or nil if no customer has a limit. The host may
+// not receive it, so that the next report has the same customers.
+func (c *Commands) Answer(now time.Time, id string, sequence uint64) (section *peerapi.CustomerUsage) {
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		q.Sequence = max(q.Sequence, sequence)
+		if len(q.Limits) > 0 {
+			section = changedCustomers(q, now, q.Membership.Host(id))
 		}
 	})
 	return section
 }
 
+// changedCustomers returns the customers whose use has changed since the newest report that the host has received.
+func changedCustomers(q *table.Quotas, now time.Time, h *quota.Host) *peerapi.CustomerUsage {
+	section := &peerapi.CustomerUsage{}
+	for name := range q.Unreported {
+		b := q.Buckets[name]
+		if b.Changed <= h.Delivered {
+			continue
+		}
+		if len(section.Customers) == peerapi.MaxCustomers {
+			section.Partial = true
+			break
+		}
+		b.ConfirmAll(now, &q.Membership, q.Tolerance)
+		b.Settle(now)
+		section.Customers = append(section.Customers, peerapi.CustomerTotal{
+			Name: name, Since: b.Since, Used: b.Used, Level: b.Level,
+		})
+	}
+	return section
+}
+
 // reportDue reports whether the host has to be told now. Reports are frequent while a customer is near its limit, because
 // hosts set parts aside for those that they do not hear.
 func reportDue(q *table.Quotas, h *quota.Host, now time.Time) bool {
 	if len(q.Limits) == 0 {
 		return false
 	}
+	if now.Sub(q.EntryUntil) > quota.FormerReportDuration {
+		// Other hosts set nothing aside for this one.
+		for name := range q.Unreported {
+			if q.Buckets[name].Changed > h.Delivered {
+				return true
+			}
+		}
+		return false
+	}
 	if now.Sub(h.SentAt) >= calmReportInterval {
 		return true
 	}
@@ -255,8 +280,16 @@
 	var ended []string
 	var isolationChanged, isolated bool
 	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
+		if entryHost {
+			q.EntryUntil = now
+		}
 		q.Membership.SeeEntryHosts(now, ids)
-		q.Spenders = q.Membership.Spenders(now)
+		before := q.Spenders.Unknown
+		if q.Spenders = q.Membership.Spenders(now); q.Spenders.Unknown < before {
+			for _, b := range q.Buckets {
+				b.ForgetUnknown(now, q.Tolerance)
+			}
+		}
 		dropReported(q, ids)
 		if now.Sub(q.SweptAt) >= bucketSweepInterval {
 			q.SweptAt = now
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -157,6 +157,9 @@
 			Hosts: map[string]*Host{}, StartedAt: start, HeardAt: start, InformedSince: start, Seeds: 2, FirstStart: firstStart,
 		}
 		m.SeeEntryHosts(start, []string{"a", "b"})
+		for _, h := range m.Hosts {
+			h.EntrySince = start.Add(-settledEntryDuration)
+		}
 		return m
 	}
 	hear := func(m *Membership, now time.Time) { m.Hear(now, "a", 1, uint64(now.UnixNano())) }
@@ -173,6 +176,22 @@
 		m.SeeEntryHosts(later, []string{"a"})
 		assertSpenders(t, m, later, 2)
 	})
+	// Guards against small parts for a minute after a restart of all hosts, when many are entry hosts for a moment.
+	t.Run("a host that was an entry host for a moment is not counted", func(t *testing.T) {
+		m := membership(true)
+		m.SeeEntryHosts(start, []string{"a", "b", "c"})
+		later := start.Add(time.Second)
+		hear(m, later)
+		m.SeeEntryHosts(later, []string{"a", "b"})
+		assertSpenders(t, m, later, 3)
+	})
+	t.Run("a host that reported until its callers have left is not counted", func(t *testing.T) {
+		m := membership(true)
+		later := start.Add(FormerReportDuration)
+		m.Hear(later, "b", 1, 1)
+		m.SeeEntryHosts(later, []string{"a"})
+		assertSpenders(t, m, later, 2)
+	})
 	t.Run("a leaving host is not counted after it has stopped", func(t *testing.T) {
 		m := membership(true)
 		m.Host("b").LeavingSince = start
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -28,7 +28,9 @@
 	// Delivered is the newest report that the other host has received from this one, and SentAt when one was last sent.
 	Delivered uint64
 	SentAt    time.Time
-	// EntryUntil is when the host was last an entry host, and LeavingSince when it was first seen leaving; zero if it is not.
+	// EntrySince and EntryUntil are the time for which the host was last an entry host, and LeavingSince is when it was first
+	// seen leaving; zero if it is not.
+	EntrySince   time.Time
 	EntryUntil   time.Time
 	LeavingSince time.Time
 }
@@ -89,6 +91,12 @@
 	}
 }
 
+// ForgetUnknown takes back what was assumed about hosts whose IDs were not known. Their own reports replace it.
+func (b *Bucket) ForgetUnknown(now time.Time, t Tolerance) {
+	b.Confirm(now, "", Arrival{})
+	b.Bound(t, Arrival{})
+}
+
 // Charge charges what the host accepted since its last report. It must follow Confirm, and be followed by Bound.
 func (b *Bucket) Charge(now time.Time, id string, u Usage, a Arrival) {
 	b.Settle(now)
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -8,9 +8,14 @@
 )
 
 const (
-	// FormerEntryDuration is how long the part of a host that was an entry host stays set aside. Callers may use a host for
-	// three times as long as a directory response is valid, and for longer if they get no new one.
+	// FormerEntryDuration is how long the part of a host that was an entry host and went silent stays set aside. Callers may
+	// use it for as long as they get no new directory response.
 	FormerEntryDuration = 60 * time.Second
+	// FormerReportDuration is how long a host that is no entry host any more goes on reporting. Callers use a host for up to
+	// three times as long as a directory response is valid.
+	FormerReportDuration = 10 * time.Second
+	// settledEntryDuration is the time as an entry host after which callers are likely to use the host for long.
+	settledEntryDuration = 3 * time.Second
 	// leavingDuration is how long the part of a leaving host stays set aside. Such a host refuses requests after 2.5 s.
 	leavingDuration = 6 * time.Second
 	// maxAlone is how long a host that hears no other one keeps their parts set aside.
@@ -76,13 +81,32 @@
 // maySpend reports whether the host may accept requests, given how long no host was heard. Silence of all hosts does not
 // end the time for which parts are set aside, because then this host is the one that is cut off.
 func (h *Host) maySpend(now time.Time, alone time.Duration) bool {
-	if h.EntryUntil.IsZero() || alone > maxAlone {
+	switch {
+	case h.EntryUntil.IsZero() || alone > maxAlone:
 		return false
-	}
-	if !h.LeavingSince.IsZero() && now.Sub(h.LeavingSince) > leavingDuration {
+	case !h.LeavingSince.IsZero() && now.Sub(h.LeavingSince) > leavingDuration:
+		return false
+	case h.HeardAt.Sub(h.EntryUntil) >= FormerReportDuration-maxSilence:
 		return false
 	}
-	return now.Sub(h.EntryUntil) < FormerEntryDuration+alone
+	duration := h.setAsideDuration()
+	if duration > 0 {
+		duration += alone
+	}
+	return now.Sub(h.EntryUntil) <= duration
+}
+
+// setAsideDuration returns how long the part of the host stays set aside after it was an entry host. Many hosts are entry
+// hosts for a moment while a whole fleet restarts. Such a host has few callers, and a host that has not been heard since it
+// became an entry host has not heard of others either and leaves most of its part itself.
+func (h *Host) setAsideDuration() time.Duration {
+	switch {
+	case h.EntryUntil.Sub(h.EntrySince) >= settledEntryDuration:
+		return FormerEntryDuration
+	case !h.HeardAt.Before(h.EntrySince):
+		return FormerReportDuration
+	}
+	return 0
 }
 
 // Isolated reports whether the host has heard none of the hosts that may accept requests for longer than maxSilence.
@@ -130,6 +154,9 @@
 func (m *Membership) SeeEntryHosts(now time.Time, ids []string) {
 	for _, id := range ids {
 		h := m.Host(id)
+		if now.Sub(h.EntryUntil) > maxSilence {
+			h.EntrySince = now
+		}
 		h.EntryUntil, h.LeavingSince = now, time.Time{}
 	}
 	for id, h := range m.Hosts {
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -175,7 +175,7 @@
 		readJitter: rand.N(maxReadJitter),
 	}
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
-	n.reports.quotas = newQuotas(t, o, n.started, logger)
+	n.reports.quotas, n.reports.newReport = newQuotas(t, o, n.started, logger), n.newReport
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
--- a/internal/node/entrynode/reports.go
+++ b/internal/node/entrynode/reports.go
@@ -29,11 +29,16 @@
 type reportExchange struct {
 	sequence atomic.Uint64
 	quotas   *quotacmd.Commands
+	// newReport returns a report without sections.
+	newReport func() peerapi.Report
 }
 
 // ObserveReport implements peerserver.ReportObserver.
-func (x *reportExchange) ObserveReport(now time.Time, m peerapi.Report) {
+func (x *reportExchange) ObserveReport(now time.Time, m peerapi.Report) peerapi.Report {
 	x.quotas.Observe(now, m)
+	answer := x.newReport()
+	answer.Customers = x.quotas.Answer(now, m.From.ID, answer.Sequence)
+	return answer
 }
 
 // fillReport sets the sections of the report for one host, and reports whether there are any.
@@ -46,12 +51,8 @@
 func (n *Node) reportLoop(ctx context.Context) {
 	callPeriodically(ctx, reportInterval, func(int) {
 		now := time.Now()
-		self, ready := n.Roster.Self()
 		for _, h := range n.otherEntryHosts() {
-			report := peerapi.Report{
-				From: peerapi.HostMessage(self, ready), Incarnation: n.started.UnixNano(), Sequence: n.reports.sequence.Add(1),
-			}
-			report.From.Leaving = n.leaving.Load()
+			report := n.reports.newReport()
 			if !n.reports.fillReport(now, h, &report) {
 				continue
 			}
@@ -63,9 +64,22 @@
 }
 
 func (n *Node) sendReport(m reportMessage) {
-	if err := n.peers.SendReport(n.peerContext, m.To.PeerAddress, m.Report); err != nil {
+	answer, err := n.peers.SendReport(n.peerContext, m.To.PeerAddress, m.Report)
+	if err != nil {
 		n.Logger.Debug().Err(err).Str("peer", m.To.ID).Msg("cannot send report to peer; the next one supersedes it")
 		return
 	}
 	n.reports.quotas.Delivered(m.To.ID, m.Report.Sequence, m.Report.Customers)
+	if answer.From.ID == m.To.ID {
+		n.reports.quotas.Observe(time.Now(), answer)
+	}
+}
+
+// newReport returns a report of this node without sections.
+func (n *Node) newReport() peerapi.Report {
+	r := peerapi.Report{
+		From: peerapi.HostMessage(n.Roster.Self()), Incarnation: n.started.UnixNano(), Sequence: n.reports.sequence.Add(1),
+	}
+	r.From.Leaving = n.leaving.Load()
+	return r
 }
--- a/internal/peer/peerclient/peerclient.go
+++ b/internal/peer/peerclient/peerclient.go
@@ -65,10 +65,14 @@
 	return err
 }
 
-// SendReport sends a periodic report to the node at the address.
-func (c *Client) SendReport(ctx context.Context, address string, m peerapi.Report) error {
-	_, err := c.post(ctx, address, peerapi.PathReport, m)
-	return err
+// SendReport sends a periodic report to the node at the address, and returns the report with which that node answers.
+func (c *Client) SendReport(ctx context.Context, address string, m peerapi.Report) (peerapi.Report, error) {
+	var answer peerapi.Report
+	body, err := c.post(ctx, address, peerapi.PathReport, m)
+	if err != nil {
+		return answer, err
+	}
+	return answer, eris.Wrap(json.Unmarshal(body, &answer), "decode answer to report")
 }
 
 func (c *Client) post(ctx context.Context, address, path string, m any) ([]byte, error) {
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -34,9 +34,10 @@
 	ObservePeerLeaving(now time.Time, service string, run notice.Run)
 }
 
-// ReportObserver takes the sections of periodic reports from other entry hosts.
+// ReportObserver takes the sections of periodic reports from other entry hosts. It returns the report with which a report is
+// answered.
 type ReportObserver interface {
-	ObserveReport(now time.Time, m peerapi.Report)
+	ObserveReport(now time.Time, m peerapi.Report) peerapi.Report
 }
 
 // Server responds to other nodes from the tables of this node.
@@ -136,8 +137,10 @@
 	}
 	now := time.Now()
 	s.RosterCommands.RecordContact(now, m.From.Announcement())
-	s.Reports.ObserveReport(now, m)
-	w.WriteHeader(http.StatusOK)
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s.Reports.ObserveReport(now, m)); err != nil {
+		s.Logger.Debug().Err(err).Str("peer", m.From.ID).Msg("cannot answer report of peer; the next report supersedes the answer")
+	}
 }
 
 func addresses(list []peerapi.ServerEvidence) []string {
--- a/pkg/table/quotas.go
+++ b/pkg/table/quotas.go
@@ -20,6 +20,8 @@
 	Spenders quota.Spenders
 	// PressedUntil is the time until which a customer counts as near its limit.
 	PressedUntil time.Time
+	// EntryUntil is when this node was last an entry host.
+	EntryUntil time.Time
 	// Unreported holds the names of the customers whose use may not have been reported to all entry hosts.
 	Unreported map[string]struct{}
 	// SweptAt is when the buckets were last swept.
