--- a/pkg/decide/admission/admission.go
+++ b/pkg/decide/admission/admission.go
@@ -23,10 +23,10 @@
 	Deadline time.Time
 	// Objective is the time until which an answer has its full value; zero if only the deadline counts.
 	Objective time.Time
-	// Kind names the requests that take about the same time; used only with an objective. Push sets KindTime, the estimate
+	// Kind names the requests that take about the same time; used only with an objective. Push sets KindTimes, the estimates
 	// of the kind.
-	Kind     string
-	KindTime *ServiceTime
+	Kind      string
+	KindTimes *KindTimes
 	// Attempt is the number of earlier attempts; 0 for the first attempt.
 	Attempt int
 	Payload T
@@ -47,8 +47,8 @@
 	// of mean deviations. Zero means the default. A lower value serves more requests of a burst, but more of them reach
 	// their deadline without an answer.
 	MarginDeviations float64
-	// Kinds estimates the time that requests of a kind take at a server.
-	Kinds map[string]*ServiceTime
+	// Kinds estimates the times that requests of a kind take at a server.
+	Kinds map[string]*KindTimes
 	// WaitingSince is the time since when requests have been waiting without a break; zero if none waits. LastDispatch is
 	// when a request last left the queue for a server.
 	WaitingSince time.Time
@@ -103,7 +103,7 @@
 // covers the earlier attempts. Push enforces no limit; use Offer for new requests.
 func Push[T any](q *Queue[T], i Item[T]) {
 	ensureRank(q, i.Rank)
-	setKindTime(q, &i)
+	setKindTimes(q, &i)
 	r := &q.Ranks[i.Rank]
 	if !i.Objective.IsZero() {
 		r.Objectives++
@@ -124,10 +124,10 @@
 	r.Waiting++
 }
 
-// setKindTime sets the estimate of the item's kind, if it has an objective.
-func setKindTime[T any](q *Queue[T], i *Item[T]) {
+// setKindTimes sets the estimates of the item's kind, if it has an objective.
+func setKindTimes[T any](q *Queue[T], i *Item[T]) {
 	if !i.Objective.IsZero() {
-		i.KindTime = q.kindTime(i.Kind)
+		i.KindTimes = q.kindTimes(i.Kind)
 	}
 }
 
--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -45,36 +45,61 @@
 	return !q.WaitingSince.IsZero() && now.Sub(q.WaitingSince) >= StandingAfter
 }
 
-// ObserveKind updates the estimate of the time that requests of the kind take at a server.
-func ObserveKind[T any](q *Queue[T], kind string, d time.Duration) {
-	q.kindTime(kind).Observe(d)
+// KindTimes estimates the times of the requests of one kind.
+type KindTimes struct {
+	// Slot is the time for which an attempt holds a slot. It includes failures, which are often fast.
+	Slot ServiceTime
+	// Answer is the same of attempts that were answered.
+	Answer ServiceTime
+}
+
+// ObserveKind updates the estimates of the kind after an attempt. The slot time is zero if the attempt did not reach a
+// backend server; such an attempt does not count.
+func ObserveKind[T any](q *Queue[T], kind string, slotTime time.Duration, answered bool) {
+	if slotTime <= 0 {
+		return
+	}
+	k := q.kindTimes(kind)
+	k.Slot.Observe(slotTime)
+	if answered {
+		k.Answer.Observe(slotTime)
+	}
 }
 
 // maxKinds bounds the kinds of requests with an estimate of their own.
 const maxKinds = 1024
 
-// kindTime returns the estimate of the kind. The estimates start anew when there are too many, because routes come and go
+// kindTimes returns the estimates of the kind. All estimates start anew when there are too many, because routes come and go
 // with the configuration.
-func (q *Queue[T]) kindTime(kind string) *ServiceTime {
+func (q *Queue[T]) kindTimes(kind string) *KindTimes {
 	s, found := q.Kinds[kind]
 	if !found {
 		if q.Kinds == nil || len(q.Kinds) >= maxKinds {
-			q.Kinds = map[string]*ServiceTime{}
+			q.Kinds = map[string]*KindTimes{}
 		}
-		s = &ServiceTime{}
+		s = &KindTimes{}
 		q.Kinds[kind] = s
 	}
 	return s
 }
 
-// serviceTime returns the estimate for the item: that of its kind once there is evidence, and before that of its rank.
-func serviceTime[T any](q *Queue[T], i *Item[T]) *ServiceTime {
-	if i.KindTime != nil && i.KindTime.Mean > 0 {
-		return i.KindTime
+// answerTime returns the estimated time of an answer to the item: that of its kind once there is evidence, and before that
+// the slot time of its rank.
+func answerTime[T any](q *Queue[T], i *Item[T]) *ServiceTime {
+	if i.KindTimes != nil && i.KindTimes.Answer.Mean > 0 {
+		return &i.KindTimes.Answer
 	}
 	return &q.Ranks[i.Rank].ServiceTime
 }
 
+// slotTime returns the mean time for which the item is expected to hold a slot.
+func slotTime[T any](q *Queue[T], i *Item[T]) time.Duration {
+	if i.KindTimes != nil && i.KindTimes.Slot.Mean > 0 {
+		return i.KindTimes.Slot.Mean
+	}
+	return q.Ranks[i.Rank].ServiceTime.Mean
+}
+
 // slack returns the time that the item can wait and still be answered within its latency objective, or before its deadline
 // if it has no objective.
 func slack[T any](q *Queue[T], i *Item[T], now time.Time) time.Duration {
@@ -82,7 +107,7 @@
 	if objective.IsZero() {
 		objective = i.Deadline
 	}
-	required := serviceTime(q, i).RequiredTime(laneDeviations)
+	required := answerTime(q, i).RequiredTime(laneDeviations)
 	longest := time.Duration(maxRequiredFraction * float64(objective.Sub(i.Arrived)))
 	return objective.Sub(now) - min(required, longest)
 }
@@ -241,7 +266,7 @@
 	ownSlack := slack(q, i, now)
 	for k := range items {
 		o := &items[k]
-		work := float64(serviceTime(q, o).Mean)
+		work := float64(slotTime(q, o))
 		if s := slack(q, o, now); s > 0 && s <= ownSlack && nInTime != limitInTime {
 			nInTime++
 			inTime += work
--- a/pkg/decide/admission/refuse.go
+++ b/pkg/decide/admission/refuse.go
@@ -71,7 +71,7 @@
 func Offer[T any](q *Queue[T], i Item[T], now time.Time) ([]Item[T], error) {
 	ensureRank(q, i.Rank)
 	r := &q.Ranks[i.Rank]
-	setKindTime(q, &i)
+	setKindTimes(q, &i)
 	wait := EstimateWait(q, i.Rank, i.Tenant)
 	if err := refusalByDeadline(q, i, wait, now); err != nil {
 		return nil, err
@@ -178,7 +178,7 @@
 
 // requiredTime returns the time that the item must have left at dispatch.
 func requiredTime[T any](q *Queue[T], i Item[T]) time.Duration {
-	return capAtHalfTimeout(i, serviceTime(q, &i).RequiredTime(q.MarginDeviations))
+	return capAtHalfTimeout(i, answerTime(q, &i).RequiredTime(q.MarginDeviations))
 }
 
 // HasEnoughTime reports whether the item has enough time left to be dispatched even while other requests wait.
@@ -224,7 +224,7 @@
 // time left its outcome would most likely be unknown.
 func isLate[T any](q *Queue[T], i Item[T], now time.Time) bool {
 	left := i.Deadline.Sub(now)
-	if left <= capAtHalfTimeout(i, serviceTime(q, &i).Mean) || !fitsBeforeStop(q, i, 0, now) {
+	if left <= capAtHalfTimeout(i, answerTime(q, &i).Mean) || !fitsBeforeStop(q, i, 0, now) {
 		return true
 	}
 	return Waiting(q) > 1 && left < requiredTime(q, i)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -319,12 +319,12 @@
 const minClosedFraction = 0.2
 
 // canWaitForClosed reports whether the ticket should wait for a server with a closed circuit breaker instead of going
-// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left, or a quarter if
-// it has a latency objective and the backlog is below the time left. Late requests of a surge wait long, and would
-// otherwise end at failing servers although servers with a closed breaker get to them in time.
+// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left. Less is enough
+// if it exceeds the latency objective and the backlog. Late requests of a surge wait long, and would otherwise end at
+// failing servers although servers with a closed breaker get to them in time.
 func canWaitForClosed(p servicePool, t *table.Ticket, now time.Time) bool {
 	total, left := t.Deadline.Sub(t.Arrived), t.Deadline.Sub(now)
-	waitsLate := hasObjective(t) && left > total/4 && p.Backlog < left
+	waitsLate := hasObjective(t) && left > t.TargetLatency && p.Backlog < left
 	if left < total/2 && !waitsLate {
 		return false
 	}
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -144,10 +144,10 @@
 			allWorkersBusy = q.InFlight >= d.Workers
 			q.InFlight--
 			queue := queueOf(q, a.Ticket.Service)
-			admission.ReleaseSlot(queue, a.Ticket.Rank, slotTime(r, now.Sub(started)))
-			if r.Evidence == fleet.Succeeded && hasObjective(a.Ticket) {
-				// A failure, which is often fast, does not show how long an answer takes.
-				admission.ObserveKind(queue, a.Ticket.Route, now.Sub(started))
+			held := slotTime(r, now.Sub(started))
+			admission.ReleaseSlot(queue, a.Ticket.Rank, held)
+			if hasObjective(a.Ticket) {
+				admission.ObserveKind(queue, a.Ticket.Route, held, r.Evidence == fleet.Succeeded)
 			}
 		})
 	})
