--- /dev/null
+++ b/internal/decide/zoneshare/zoneshare.go
@@ -0,0 +1,239 @@
+// Package zoneshare decides which share of a service's requests leaves the availability zone of their callers, and for
+// which zones. It answers loads that are uneven between zones: callers of one zone surge, callers move to another zone, or
+// a zone loses servers. It contains no I/O and reads no clock.
+package zoneshare
+
+import (
+	"math"
+	"time"
+)
+
+// Load is what the entry hosts of one zone report about one service.
+type Load struct {
+	// Demand is the number of slots that requests of the host's callers hold or wait for, wherever the servers are.
+	Demand float64
+	// Slots is the number of slots of the usable servers in the host's own zone, as the host sees them.
+	Slots float64
+}
+
+// Zone is the load of one service in one availability zone.
+type Zone struct {
+	Name string
+	// Load is the sum of the demand at the zone's entry hosts, and the slots that they see in their zone.
+	Load
+	// ReachableSlots is the number of slots of the zone's usable servers as this host sees them.
+	ReachableSlots float64
+	// Hosts is the number of entry hosts in the zone.
+	Hosts int
+	// Unknown reports whether the zone has entry hosts none of which reported lately. The zone then gets no requests,
+	// because it may be busy.
+	Unknown bool
+}
+
+// Costs are what it takes to decide how long requests may wait in their zone.
+type Costs struct {
+	// Crossing is the time that another zone adds to a request, there and back.
+	Crossing time.Duration
+	// TransferCost is the wait that is accepted to keep a megabyte of request and response in its zone.
+	TransferCost time.Duration
+	// MeanBytes is the mean size of request and response.
+	MeanBytes float64
+	// ServiceTime is the mean time for which a request holds a slot, and Target the time within which its response should
+	// arrive; zero if unknown.
+	ServiceTime time.Duration
+	Target      time.Duration
+}
+
+const (
+	bytesPerMB = 1 << 20
+	// maxWaitFraction bounds the mean wait in the zone, as a fraction of the time between the service time and the target
+	// latency. With exponentially distributed waits of this mean, e^-10 of the requests would be late.
+	maxWaitFraction = 0.1
+	// fullLoad is the load of all zones above which they are full. Requests then wait for slots wherever they are sent.
+	fullLoad = 1
+)
+
+// ToleratedWait returns the mean wait up to which requests stay in their zone. It is never shorter than the crossing.
+// Transfer cost can prolong it only as far as responses still arrive in time.
+func ToleratedWait(c Costs) time.Duration {
+	wait := c.Crossing + time.Duration(float64(c.TransferCost)*c.MeanBytes/bytesPerMB)
+	if c.Target > 0 {
+		wait = min(wait, time.Duration(maxWaitFraction*float64(c.Target-c.ServiceTime)))
+	}
+	return max(wait, c.Crossing)
+}
+
+// MaxUtilization returns the utilization of a pool of slots at which the mean wait of its requests reaches the given time.
+// It uses Sakasegawa's approximation for several servers with a common queue, and at most 0.95, above which small errors of
+// the demand change the wait a lot.
+func MaxUtilization(slots float64, serviceTime, wait time.Duration) float64 {
+	const most, steps = 0.95, 24
+	if slots < 1 || serviceTime <= 0 {
+		return most
+	}
+	exponent := math.Sqrt(2*(slots+1)) - 1
+	low, high := 0.0, most
+	for range steps {
+		u := (low + high) / 2
+		if math.Pow(u, exponent)/(slots*(1-u))*float64(serviceTime) > float64(wait) {
+			high = u
+		} else {
+			low = u
+		}
+	}
+	return low
+}
+
+// Cause is the reason why requests leave their zone or stay in it.
+type Cause string
+
+// Causes of a share.
+const (
+	// Home means that the zone's own servers answer in time.
+	Home Cause = "home"
+	// Demand means that the zone's callers need more slots than the zone has, and Servers that the zone would have enough if
+	// all of its servers were usable.
+	Demand  Cause = "demand"
+	Servers Cause = "servers"
+	// NoServers means that the zone has no usable server of the service.
+	NoServers Cause = "no-servers"
+	// Full means that all zones together have too few slots. Requests then use any free slot, and the entry hosts share the
+	// servers by the demand of their zones, which makes the waits of all zones equal.
+	Full Cause = "all-zones-full"
+	// CutOff means that the zone needs more slots, but its hosts hear of no other zone or reach no servers there.
+	CutOff Cause = "cut-off"
+)
+
+// Target is another zone and the fraction of the leaving requests that it gets.
+type Target struct {
+	Zone   string
+	Weight float64
+}
+
+// Plan tells where requests of one service go. It is replaced, never modified.
+type Plan struct {
+	// Home is the zone of the callers.
+	Home string
+	// Share is the fraction of the requests that leaves the zone.
+	Share float64
+	// Targets are the zones with room for requests that leave, by name; their weights sum to one.
+	Targets []Target
+	Cause   Cause
+	// Wait is the mean wait up to which requests stay in their zone.
+	Wait time.Duration
+	// Load is the demand of all zones as a fraction of their usable slots, and DemandFraction the part of the demand that is
+	// the zone's own.
+	Load           float64
+	DemandFraction float64
+	// Rising reports whether the share is still below the one that is wanted. Requests that find no free slot in their zone
+	// then leave at once.
+	Rising bool
+}
+
+// Want returns the plan for the zone at the given index that makes the waits of all zones level, without regard to the
+// previous plan. Registered is the number of slots of all servers in that zone, usable or not. Entry hosts with the
+// same reports come to plans that fit together: the excess of a zone is divided over the others by their room, and the room
+// of a zone over the excess of the others, so that excesses do not meet in the same zone.
+func Want(zones []Zone, home int, registered float64, c Costs) Plan {
+	wait := ToleratedWait(c)
+	own := zones[home]
+	plan := Plan{Home: own.Name, Cause: Home, Wait: wait}
+	var demand, capacity, slots float64
+	for _, z := range zones {
+		if !z.Unknown {
+			demand += z.Demand
+			slots += max(z.Slots, z.ReachableSlots)
+			capacity += z.capacity(max(z.Slots, z.ReachableSlots), c.ServiceTime, wait)
+		}
+	}
+	level := 1.0
+	if demand > 0 && capacity > 0 {
+		plan.Load, plan.DemandFraction = demand/slots, own.Demand/demand
+		level = max(level, demand/capacity)
+	}
+	var excess, room float64
+	for n, z := range zones {
+		limit := level * z.capacity(z.Slots, c.ServiceTime, wait)
+		excess += max(0, z.Demand-limit)
+		if free := z.room(level, c.ServiceTime, wait); n != home && free > 0 {
+			plan.Targets = append(plan.Targets, Target{Zone: z.Name, Weight: free})
+			room += free
+		}
+	}
+	switch ownLimit := level * own.capacity(own.Slots, c.ServiceTime, wait); {
+	case own.Slots < 1:
+		if len(plan.Targets) == 0 {
+			plan.Targets = reachableTargets(zones, home)
+		}
+		plan.Share, plan.Cause = 1, NoServers
+	case own.Demand > own.capacity(own.Slots, c.ServiceTime, wait) && isCutOff(zones, home):
+		plan.Cause = CutOff
+	case plan.Load > fullLoad:
+		plan.Cause = Full
+		plan.Share = leavingShare(own.Demand-ownLimit, ownLimit, room, excess)
+	case own.Demand > ownLimit && room > 0:
+		plan.Share = leavingShare(own.Demand-ownLimit, ownLimit, room, excess)
+		plan.Cause = Demand
+		if own.capacity(registered, c.ServiceTime, wait) >= own.Demand {
+			plan.Cause = Servers
+		}
+	}
+	normalize(plan.Targets)
+	return plan
+}
+
+// isCutOff reports whether no other zone is known to have servers that this host reaches.
+func isCutOff(zones []Zone, home int) bool {
+	for n, z := range zones {
+		if n != home && !z.Unknown && z.ReachableSlots > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// leavingShare returns the fraction of the requests that leaves a zone with the given excess over its limit. The zone gets
+// the part of the room that its excess is of the excess of all zones.
+func leavingShare(excess, limit, room, allExcess float64) float64 {
+	if excess <= 0 || room <= 0 {
+		return 0
+	}
+	leaving := min(excess, room*excess/allExcess)
+	return leaving / (leaving + limit)
+}
+
+// capacity returns the number of slots that requests can hold before they wait longer than tolerated. The entry hosts of a
+// zone do not know each other's requests in flight, so each has its part of the slots as a pool of its own.
+func (z Zone) capacity(slots float64, service, wait time.Duration) float64 {
+	return slots * MaxUtilization(slots/float64(max(1, z.Hosts)), service, wait)
+}
+
+// room returns the number of slots that the zone has left for requests of other zones. Its own callers come first, as far
+// as their hosts can use the zone's servers.
+func (z Zone) room(level float64, service, wait time.Duration) float64 {
+	if z.Unknown {
+		return 0
+	}
+	kept := min(z.Demand, level*z.capacity(z.Slots, service, wait))
+	return max(0, level*z.capacity(z.ReachableSlots, service, wait)-kept)
+}
+
+func reachableTargets(zones []Zone, home int) []Target {
+	var targets []Target
+	for n, z := range zones {
+		if n != home && z.ReachableSlots > 0 {
+			targets = append(targets, Target{Zone: z.Name, Weight: z.ReachableSlots})
+		}
+	}
+	return targets
+}
+
+func normalize(targets []Target) {
+	var sum float64
+	for _, t := range targets {
+		sum += t.Weight
+	}
+	for n := range targets {
+		targets[n].Weight /= sum
+	}
+}
