Keep requests in the availability zone of their callers

Two thirds of the requests of a deployment with three zones cross zones, whether or not that helps them. Entry hosts report the demand and the usable slots of each service to each other five times a second, and follow the plan of zoneshare: requests prefer servers of their zone, whose slots its entry hosts share among themselves, and leave by the plan. A service that loses requests uses all of its servers without preference. It is off unless the setting zone-preference is set.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -118,11 +118,22 @@
 		result = e.sendOnce(ctx, s, started)
 	}
 	result.Latency = time.Since(started)
+	result.Bytes = e.exchangedBytes()
 	result.BodyLost = e.RemainingBody != nil && result.Sent
 	result.Leaving, result.PauseFor, result.PauseErr = e.notice.Leaving, e.notice.PauseFor, e.notice.PauseErr
 	return result
 }
 
+// exchangedBytes returns the size of the bodies of request and response. A response of unknown length counts as far as it
+// was buffered.
+func (e *Exchange) exchangedBytes() int64 {
+	n := max(int64(len(e.BufferedBody)), e.Request.ContentLength)
+	if e.response != nil {
+		n += max(int64(len(e.buffered)), e.response.ContentLength)
+	}
+	return n
+}
+
 // closedBeforeResponse reports whether the server closed or reset the connection before the first byte of a response.
 func closedBeforeResponse(err error) bool {
 	var exchangeErr ExchangeError
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -26,6 +26,7 @@
 	"egretline.example/egretline/internal/replica/replicaquery"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/internal/roster/rosterquery"
+	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/dispatchquery"
@@ -82,6 +83,8 @@
 	// fleet: RetryRatio as a fraction of the requests, RetryBurst as an additional number.
 	RetryRatio float64
 	RetryBurst int
+	// Zones are the settings of requests that prefer the availability zone of their callers.
+	Zones zonecmd.Settings
 }
 
 // Log is the client of the platform's log.
@@ -174,6 +177,7 @@
 	n.requestContext, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
+	n.reports.zones = zonecmd.New(t, o.Zones, logger)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"egretline.example/egretline/internal/zone/zonequery"
 	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -27,6 +28,7 @@
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
 		}
 		writeDispatchCounts(&b, dispatch)
+		writeZones(&b, &zonequery.Queries{Tables: n.Tables})
 		now := time.Now()
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
--- a/internal/node/entrynode/reports.go
+++ b/internal/node/entrynode/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/pkg/fleet"
 )
 
@@ -27,20 +28,29 @@
 // reportExchange builds the reports of this node and takes those of others.
 type reportExchange struct {
 	sequence atomic.Uint64
+	zones    *zonecmd.Commands
+	// load is the section about demand and capacity of the reports that are being sent; nil if they have none.
+	load *peerapi.ServiceLoads
 }
 
 // ObserveReport implements peerserver.ReportObserver.
-func (*reportExchange) ObserveReport(time.Time, peerapi.Report) {}
+func (e *reportExchange) ObserveReport(now time.Time, m peerapi.Report) {
+	if m.Load != nil {
+		e.zones.ObserveReport(m.From.ID, zoneReport(now, m))
+	}
+}
 
 // fillReport sets the sections of the report for one host, and reports whether there are any.
-func (*reportExchange) fillReport(_ time.Time, _ fleet.Host, r *peerapi.Report) bool {
+func (e *reportExchange) fillReport(_ time.Time, _ fleet.Host, r *peerapi.Report) bool {
+	r.Load = e.load
 	return r.Customers != nil || r.Load != nil
 }
 
 // reportLoop sends reports to the other entry hosts.
 func (n *Node) reportLoop(ctx context.Context) {
-	callPeriodically(ctx, reportInterval, func(int) {
+	callPeriodically(ctx, reportInterval, func(iteration int) {
 		now := time.Now()
+		n.reports.load = n.stepZones(now, iteration)
 		self, ready := n.Roster.Self()
 		for _, h := range n.otherEntryHosts() {
 			report := peerapi.Report{
--- a/internal/node/entrysettings/entrysettings.go
+++ b/internal/node/entrysettings/entrysettings.go
@@ -10,6 +10,14 @@
 	"egretline.example/egretline/pkg/settings"
 )
 
+// Default values of optional settings.
+const (
+	// DefaultZoneCrossingTime is the time that a neighboring availability zone of the same region adds to a request.
+	DefaultZoneCrossingTime = 3 * time.Millisecond
+	// DefaultZoneTransferCost makes small requests wait a few milliseconds and large responses as long as they are in time.
+	DefaultZoneTransferCost = time.Second
+)
+
 // Settings holds the settings that an entry node needs before it reads the log.
 type Settings struct {
 	HostID           string `toml:"host-id"`
@@ -41,7 +49,14 @@
 	// RetryRatio and RetryBurst limit the retries of the whole fleet at one service.
 	RetryRatio float64 `toml:"retry-ratio"`
 	RetryBurst int     `toml:"retry-burst"`
-	LogLevel   string  `toml:"log-level"`
+	// ZonePreference is set if requests prefer the backend servers in the availability zone of their callers.
+	ZonePreference bool `toml:"zone-preference"`
+	// ZoneCrossingTime is the time that another zone adds to a request, there and back.
+	ZoneCrossingTime settings.Duration `toml:"zone-crossing-time"`
+	// ZoneTransferCost is the wait that is accepted to keep a megabyte of request and response in its zone. Responses that
+	// would be late leave the zone at any cost.
+	ZoneTransferCost settings.Duration `toml:"zone-transfer-cost"`
+	LogLevel         string            `toml:"log-level"`
 }
 
 // Load reads and validates the settings file. It returns settings.FileError for a file with unknown, missing or
@@ -56,7 +71,10 @@
 
 // Decode parses and validates the contents of a settings file. The path is used only in errors.
 func Decode(path string, contents []byte) (Settings, error) {
-	s := Settings{LogLevel: "info"}
+	s := Settings{
+		LogLevel: "info", ZoneCrossingTime: settings.Duration{Duration: DefaultZoneCrossingTime},
+		ZoneTransferCost: settings.Duration{Duration: DefaultZoneTransferCost},
+	}
 	if err := settings.DecodeStrict(path, contents, &s); err != nil {
 		return Settings{}, err
 	}
@@ -90,6 +108,8 @@
 		{"grace", s.GracePeriod.Duration > time.Second},
 		{"retry-ratio", s.RetryRatio >= 0 && s.RetryRatio < 1},
 		{"retry-burst", s.RetryBurst >= 0},
+		{"zone-crossing-time", s.ZoneCrossingTime.Duration > 0},
+		{"zone-transfer-cost", s.ZoneTransferCost.Duration >= 0},
 	} {
 		if !r.ok {
 			return settings.FileError{Path: path, Key: r.key, Remedy: "out of range; see docs/OPERATIONS.md"}
--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -30,6 +30,12 @@
 	return min(slots, int(math.Ceil(overcommitFactor*float64(slots)/(float64(sharers)*reachable))))
 }
 
+// OutstandingOfPart returns the number of requests that one node may have outstanding at a server of which it gets the given
+// part of the slots.
+func OutstandingOfPart(slots int, part float64) int {
+	return min(slots, int(math.Round(overcommitFactor*float64(slots)*part)))
+}
+
 // Limit is the adaptive concurrency limit of one node at one backend server. Value may be fractional, because several
 // nodes share the server's slots.
 type Limit struct {
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/notice"
+	"egretline.example/egretline/internal/decide/zoneshare"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/group"
@@ -62,6 +63,7 @@
 		groupSize = cmp.Or(c.Services[service].GroupSize, groupSize)
 	}
 	sharing := d.currentSharing()
+	zonePlan := d.zonePlan(service)
 	var late, refused []*table.Ticket
 	var pauses notice.Pool
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
@@ -72,10 +74,13 @@
 				return
 			}
 			slots, trialServers := updateLimits(servers, groupSize, sharing.Nodes, now)
-			admission.Configure(queue, ranks, slots, trialServers)
+			if healthquery.HasHighLoss(b.Health[service], now) {
+				zonePlan = nil
+			}
+			admission.Configure(queue, ranks, slots+raisedSlots(servers, zonePlan, sharing, now), trialServers)
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
-			p.Sharing = sharing
+			p.Sharing, p.ZonePlan = sharing, zonePlan
 			pauses = pausesOf(b, service, now)
 			for _, t := range removePaused(queue, pauses, now) {
 				countsOf(q, t).Refused[admission.ServersPaused]++
@@ -198,6 +203,8 @@
 type servicePool struct {
 	Servers map[string]*table.Backend
 	Sharing Sharing
+	// ZonePlan tells which requests leave the node's availability zone; nil if zones have no preference.
+	ZonePlan *zoneshare.Plan
 	// Backlog is the time that all slots together need to serve the waiting requests.
 	Backlog time.Duration
 	// HighLossRate reports whether the service is losing a large fraction of its requests.
@@ -280,6 +287,7 @@
 func chooseServer(p servicePool, t *table.Ticket, zone string, now time.Time) *table.Backend {
 	candidates := make([]admission.Server, 0, len(p.Servers))
 	skipOpen := canWaitForClosed(p, t, now)
+	preference := p.zonePreferenceOf(t, zone, now)
 	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
 		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
@@ -290,10 +298,14 @@
 		if state == detect.Open && skipOpen || state == detect.HalfOpen && s.Outstanding > 0 {
 			continue
 		}
+		penalty, allowed := preference.penalty(s)
+		if !allowed {
+			continue
+		}
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
 		candidates = append(candidates, admission.Server{
 			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
-			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone),
+			BreakerOpen: state == detect.Open, LoadPenalty: penalty,
 		})
 	}
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
@@ -306,10 +318,14 @@
 // limitFor returns the concurrency limit of the server for the ticket. Large responses stay in their availability zone,
 // and therefore only the nodes of that zone share the server's slots for them.
 func (p servicePool) limitFor(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
-	if !t.Bulk || p.Sharing.NodesInZone == 0 || s.Server.AvailabilityZone != zone {
+	slots := zoneSlots(s, p.ZonePlan, p.Sharing)
+	if t.Bulk && p.Sharing.NodesInZone > 0 && s.Server.AvailabilityZone == zone {
+		slots = admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1)
+	}
+	if slots == 0 {
 		return s.Limit
 	}
-	return s.Limit.RaisedTo(admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1), now)
+	return s.Limit.RaisedTo(slots, now)
 }
 
 // minClosedFraction is the fraction of a pool whose circuit breakers have to be closed before the servers with an open
@@ -335,12 +351,3 @@
 	}
 	return closed > 0 && float64(closed) >= minClosedFraction*float64(usable)
 }
-
-// crossZonePenalty returns the penalty, in outstanding requests, of sending a large response from another availability
-// zone. The response crosses zones only if all slots in the node's zone are taken.
-func crossZonePenalty(s *table.Backend, t *table.Ticket, zone string) int {
-	if !t.Bulk || zone == "" || s.Server.AvailabilityZone == zone {
-		return 0
-	}
-	return s.Server.Slots
-}
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -34,9 +34,9 @@
 func (d *Dispatcher) finish(a table.Assignment, r table.Result, reason retry.Reason) table.Result {
 	t := a.Ticket
 	if r.Response {
-		latency := r.Latency
+		latency, bodyBytes := r.Latency, r.Bytes
 		r = t.Runner.Deliver(t.Context)
-		r.Latency = latency
+		r.Latency, r.Bytes = latency, bodyBytes
 	} else {
 		t.Runner.Discard()
 		r.Outcome = retry.Outcome(retryAttempt(a, r, 0))
@@ -137,6 +137,7 @@
 func (d *Dispatcher) releaseAttempt(a table.Assignment, r table.Result, started time.Time) {
 	now := time.Now()
 	d.Health.Observe(now, a, r)
+	d.recordZone(a, r)
 	var allWorkersBusy bool
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		releaseSlot(b, a, r, now)
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -22,6 +22,7 @@
 	RankRoster
 	RankBackends
 	RankQueues
+	RankZones
 	RankKeys
 	RankBudgets
 	RankTraffic
@@ -35,6 +36,7 @@
 	Roster   *guard.Guard[Roster]
 	Backends *guard.Guard[Backends]
 	Queues   *guard.Guard[Queues]
+	Zones    *guard.Guard[Zones]
 	Keys     *guard.Guard[Keys]
 	Traffic  *guard.Guard[Traffic]
 	Budgets  *guard.Guard[Budgets]
@@ -49,6 +51,7 @@
 		Roster:   guard.New(RankRoster, Roster{Self: self, Hosts: map[string]*roster.State{}}),
 		Backends: guard.New(RankBackends, newBackends()),
 		Queues:   guard.New(RankQueues, newQueues()),
+		Zones:    guard.New(RankZones, newZones()),
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
 		Budgets:  guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
@@ -146,6 +149,8 @@
 	Aborted bool
 	// Latency is the time until the response headers arrived.
 	Latency time.Duration
+	// Bytes is the size of the bodies of request and response, as far as it is known when the response starts.
+	Bytes int64
 	// Leaving reports whether the backend server announced that it is leaving.
 	Leaving bool
 	// PauseFor is the time for which the backend server asked to get no more requests from this node; zero if it did not.
