Raise limits at other zones only as far as the plan needs them

Half or three quarters of a server's slots for any zone that leaves let requests queue at servers, where ranks don't count. The limit follows from the slots that leaving requests take. Splits the computation of a plan into short functions, and tests the node's wiring.

--- a/internal/decide/zoneshare/direction.go
+++ b/internal/decide/zoneshare/direction.go
@@ -76,12 +76,23 @@
 
 // HasRoom reports whether the plan sends requests to the zone.
 func (p *Plan) HasRoom(zone string) bool {
+	_, found := p.target(zone)
+	return found
+}
+
+// SlotFraction returns the fraction of the slots in the zone that requests of this one take; zero if none are sent there.
+func (p *Plan) SlotFraction(zone string) float64 {
+	t, _ := p.target(zone)
+	return t.SlotFraction
+}
+
+func (p *Plan) target(zone string) (Target, bool) {
 	for _, t := range p.Targets {
 		if t.Zone == zone {
-			return true
+			return t, true
 		}
 	}
-	return false
+	return Target{}, false
 }
 
 // position maps the ID to a number from 0 to 1. It is an FNV-1a hash with the finalizer of SplitMix64, because similar IDs
--- a/internal/decide/zoneshare/zoneshare.go
+++ b/internal/decide/zoneshare/zoneshare.go
@@ -108,6 +108,8 @@
 type Target struct {
 	Zone   string
 	Weight float64
+	// SlotFraction is the fraction of the zone's reachable slots that these requests take.
+	SlotFraction float64
 }
 
 // Plan tells where requests of one service go. It is replaced, never modified.
@@ -135,105 +137,27 @@
 // same reports come to plans that fit together: the excess of a zone is divided over the others by their room, and the room
 // of a zone over the excess of the others, so that excesses do not meet in the same zone.
 func Want(zones []Zone, home int, registered float64, c Costs) Plan {
-	wait := ToleratedWait(c)
+	b := balance{Zones: zones, Home: home, ServiceTime: c.ServiceTime, Wait: ToleratedWait(c)}
 	own := zones[home]
-	plan := Plan{Home: own.Name, Cause: Home, Wait: wait}
-	var demand, capacity, slots float64
-	for _, z := range zones {
-		if !z.Unknown {
-			demand += z.Demand
-			slots += max(z.Slots, z.ReachableSlots)
-			capacity += z.capacity(max(z.Slots, z.ReachableSlots), c.ServiceTime, wait)
-		}
-	}
-	level := 1.0
-	if demand > 0 && capacity > 0 {
-		plan.Load, plan.DemandFraction = demand/slots, own.Demand/demand
-		level = max(level, demand/capacity)
-	}
-	var excess, room float64
-	for n, z := range zones {
-		limit := level * z.capacity(z.Slots, c.ServiceTime, wait)
-		excess += max(0, z.Demand-limit)
-		if free := z.room(level, c.ServiceTime, wait); n != home && free > 0 {
-			plan.Targets = append(plan.Targets, Target{Zone: z.Name, Weight: free})
-			room += free
-		}
-	}
-	switch ownLimit := level * own.capacity(own.Slots, c.ServiceTime, wait); {
+	plan := Plan{Home: own.Name, Cause: Home, Wait: b.Wait}
+	plan.Load, plan.DemandFraction = b.setLevel()
+	plan.Targets = b.targets()
+	leaving, limit := b.leaving(), b.limit(own)
+	switch {
 	case own.Slots < 1:
 		if len(plan.Targets) == 0 {
-			plan.Targets = reachableTargets(zones, home)
+			plan.Targets = b.reachableTargets()
 		}
 		plan.Share, plan.Cause = 1, NoServers
-	case own.Demand > own.capacity(own.Slots, c.ServiceTime, wait) && isCutOff(zones, home):
+	case own.Demand > b.capacity(own, own.Slots) && b.isCutOff():
 		plan.Cause = CutOff
 	case plan.Load > fullLoad:
-		plan.Cause = Full
-		plan.Share = leavingShare(own.Demand-ownLimit, ownLimit, room, excess)
-	case own.Demand > ownLimit && room > 0:
-		plan.Share = leavingShare(own.Demand-ownLimit, ownLimit, room, excess)
-		plan.Cause = Demand
-		if own.capacity(registered, c.ServiceTime, wait) >= own.Demand {
-			plan.Cause = Servers
-		}
+		plan.Share, plan.Cause = leaving/max(1, leaving+limit), Full
+	case leaving > 0 && b.capacity(own, registered) >= own.Demand:
+		plan.Share, plan.Cause = leaving/(leaving+limit), Servers
+	case leaving > 0:
+		plan.Share, plan.Cause = leaving/(leaving+limit), Demand
 	}
-	normalize(plan.Targets)
+	b.divide(plan.Targets, leaving)
 	return plan
 }
-
-// isCutOff reports whether no other zone is known to have servers that this host reaches.
-func isCutOff(zones []Zone, home int) bool {
-	for n, z := range zones {
-		if n != home && !z.Unknown && z.ReachableSlots > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// leavingShare returns the fraction of the requests that leaves a zone with the given excess over its limit. The zone gets
-// the part of the room that its excess is of the excess of all zones.
-func leavingShare(excess, limit, room, allExcess float64) float64 {
-	if excess <= 0 || room <= 0 {
-		return 0
-	}
-	leaving := min(excess, room*excess/allExcess)
-	return leaving / (leaving + limit)
-}
-
-// capacity returns the number of slots that requests can hold before they wait longer than tolerated. The entry hosts of a
-// zone do not know each other's requests in flight, so each has its part of the slots as a pool of its own.
-func (z Zone) capacity(slots float64, service, wait time.Duration) float64 {
-	return slots * MaxUtilization(slots/float64(max(1, z.Hosts)), service, wait)
-}
-
-// room returns the number of slots that the zone has left for requests of other zones. Its own callers come first, as far
-// as their hosts can use the zone's servers.
-func (z Zone) room(level float64, service, wait time.Duration) float64 {
-	if z.Unknown {
-		return 0
-	}
-	kept := min(z.Demand, level*z.capacity(z.Slots, service, wait))
-	return max(0, level*z.capacity(z.ReachableSlots, service, wait)-kept)
-}
-
-func reachableTargets(zones []Zone, home int) []Target {
-	var targets []Target
-	for n, z := range zones {
-		if n != home && z.ReachableSlots > 0 {
-			targets = append(targets, Target{Zone: z.Name, Weight: z.ReachableSlots})
-		}
-	}
-	return targets
-}
-
-func normalize(targets []Target) {
-	var sum float64
-	for _, t := range targets {
-		sum += t.Weight
-	}
-	for n := range targets {
-		targets[n].Weight /= sum
-	}
-}
--- a/internal/decide/zoneshare/zoneshare_test.go
+++ b/internal/decide/zoneshare/zoneshare_test.go
@@ -72,15 +72,14 @@
 			zones[n] = zoneWith(fmt.Sprint(n), rapid.Float64Range(0, 100).Draw(t, "demand"), float64(rapid.IntRange(0, 60).Draw(t, "slots")))
 		}
 		inflow := map[string]float64{}
-		level := 1.0
 		for n, z := range zones {
 			p := Want(zones, n, z.Slots, testCosts())
 			assertValid(t, p)
-			level = max(level, p.Load)
 			if p.Cause == NoServers || p.Cause == Full {
 				return // these requests have no better place
 			}
-			kept := z.capacity(z.Slots, testCosts().ServiceTime, p.Wait)
+			b := balance{ServiceTime: testCosts().ServiceTime, Wait: p.Wait}
+			kept := b.capacity(z, z.Slots)
 			for _, target := range p.Targets {
 				inflow[target.Zone] += p.Share / (1 - p.Share) * kept * target.Weight
 			}
@@ -140,7 +139,10 @@
 // Guards against requests that change their direction while they wait, against shares that are not kept, and against
 // large responses and first attempts that go where they should not.
 func TestDirect(t *testing.T) {
-	plan := &Plan{Home: "a", Share: 0.4, Cause: Demand, Targets: []Target{{"b", 0.75}, {"c", 0.25}}, Wait: 10 * time.Millisecond}
+	plan := &Plan{
+		Home: "a", Share: 0.4, Cause: Demand, Targets: []Target{{Zone: "b", Weight: 0.75}, {Zone: "c", Weight: 0.25}},
+		Wait: 10 * time.Millisecond,
+	}
 	small := Request{Target: time.Second}
 	t.Run("the share is kept and divided by weight", func(t *testing.T) {
 		assertDirections(t, plan, small, map[string]float64{"a": 0.6, "b": 0.3, "c": 0.1})
--- a/pkg/dispatchcmd/zone.go
+++ b/pkg/dispatchcmd/zone.go
@@ -1,7 +1,6 @@
 package dispatchcmd
 
 import (
-	"math"
 	"time"
 
 	"egretline.example/egretline/internal/decide/zoneshare"
@@ -69,13 +68,9 @@
 	return s.Server.Slots
 }
 
-// inboundFraction is the fraction of a server's slots that the nodes of another zone may take together while requests leave
-// their zone. The rest is left to the server's own zone, whose demand may have risen since its last report.
-const inboundFraction = 0.75
-
 // zoneSlots returns the number of requests up to which the node's limit at the server is raised because requests mostly
-// stay in their zone. It returns zero if the limit is not raised. The nodes of a zone share the servers there among
-// themselves, and so they do what is left to them in a zone with room.
+// stay in their zone. It returns zero if the limit is not raised. The nodes of a zone share its servers among themselves, and
+// those of other zones as far as their plan needs them: more would only queue at the servers.
 func zoneSlots(s *table.Backend, plan *zoneshare.Plan, sharing Sharing) int {
 	zone := s.Server.AvailabilityZone
 	switch {
@@ -85,10 +80,8 @@
 		return admission.OutstandingOfPart(s.Server.Slots, plan.DemandFraction/float64(sharing.NodesInZone))
 	case zone == plan.Home:
 		return admission.MaxOutstandingPerNode(s.Server.Slots, sharing.NodesInZone, 1)
-	case plan.Share > 0 && plan.HasRoom(zone):
-		return int(math.Ceil(inboundFraction * float64(s.Server.Slots) / float64(sharing.NodesInZone)))
 	default:
-		return 0
+		return admission.OutstandingOfPart(s.Server.Slots, plan.SlotFraction(zone)/float64(sharing.NodesInZone))
 	}
 }
 
--- a/pkg/dispatchcmd/zone_test.go
+++ b/pkg/dispatchcmd/zone_test.go
@@ -65,7 +65,7 @@
 func TestZonePlan(t *testing.T) {
 	same := func(*table.Ticket) {}
 	roomInB := zoneshare.Plan{
-		Home: "a", Cause: zoneshare.Home, Wait: 10 * time.Millisecond, Targets: []zoneshare.Target{{Zone: "b", Weight: 1}},
+		Home: "a", Cause: zoneshare.Home, Wait: 10 * time.Millisecond, Targets: []zoneshare.Target{{Zone: "b", Weight: 1, SlotFraction: 1}},
 	}
 	rising := roomInB
 	rising.Share, rising.Rising, rising.Cause = 0.2, true, zoneshare.Demand
@@ -83,7 +83,7 @@
 		{"no zone with room", none, 6, same, map[string]int{"a": 4}},
 		{"repeat", none, 6, func(t *table.Ticket) { t.Attempt = 1 }, map[string]int{"a": 4, "b": 1, "c": 1}},
 		{"no usable server at home", zoneshare.Plan{
-			Home: "a", Share: 1, Cause: zoneshare.NoServers, Targets: []zoneshare.Target{{Zone: "c", Weight: 1}},
+			Home: "a", Share: 1, Cause: zoneshare.NoServers, Targets: []zoneshare.Target{{Zone: "c", Weight: 1, SlotFraction: 1}},
 		}, 2, same, map[string]int{"c": 2}},
 		{"large responses and no slot at home", rising, 6, func(t *table.Ticket) { t.Bulk = true }, map[string]int{"a": 4, "b": 2}},
 	} {
