Let any node try a recovered server of another zone while servers are scarce

Early trials go round by turns of all nodes, so a plan that keeps them in their zone lost the turns of the other zones' nodes, and servers that had recovered stayed out of use longer in an overload. The test fails without the change.

--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -299,7 +299,8 @@
 			continue
 		}
 		penalty, allowed := preference.penalty(s)
-		if !allowed {
+		// While servers are scarce, any node may find out that a server has recovered.
+		if !allowed && (state != detect.HalfOpen || !p.allowsEarlyTrial(t)) {
 			continue
 		}
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
--- a/pkg/dispatchcmd/zone_test.go
+++ b/pkg/dispatchcmd/zone_test.go
@@ -107,6 +107,28 @@
 	})
 }
 
+// Guards against servers of other zones that stay unused for long after a failure, because while servers are scarce the
+// trials of all nodes are needed, and against trials that cross zones in calm.
+func TestZoneTrials(t *testing.T) {
+	same := func(*table.Ticket) {}
+	for _, c := range []struct {
+		Name     string
+		Requests int
+		Want     map[string]int
+	}{
+		{"calm", 1, map[string]int{"a": 1}},
+		{"servers are scarce", 6, map[string]int{"a": 4, "c": 1}},
+	} {
+		t.Run(c.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newZoneFixture(zoneshare.Plan{Home: "a", Cause: zoneshare.Demand})
+				f.recordFastFailure("s3", 10*time.Second)
+				assertByZone(t, f.send(c.Requests, same), c.Want)
+			})
+		})
+	}
+}
+
 // Guards against traffic between zones that operators do not see, and against a mean size that the plan lacks.
 func TestRecordZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
