Share servers evenly while all zones are full

Zones now share evenly, as without a plan, except for what others do not need. Raised limits also count when dispatch looks for any free server, idle entry hosts report, and services without demand are left out of reports.

--- a/internal/decide/zoneshare/assert_test.go
+++ b/internal/decide/zoneshare/assert_test.go
@@ -22,6 +22,13 @@
 	}
 }
 
+func assertOwnPart(t *testing.T, p Plan, want float64) {
+	t.Helper()
+	if math.Abs(p.OwnPart-want) > 1e-9 {
+		t.Errorf("zone has %.3f of all slots, want %.3f", p.OwnPart, want)
+	}
+}
+
 func assertTargets(t *testing.T, p Plan, zones ...string) {
 	t.Helper()
 	var got []string
--- a/internal/decide/zoneshare/balance.go
+++ b/internal/decide/zoneshare/balance.go
@@ -13,9 +13,8 @@
 	Level float64
 }
 
-// setLevel sets Level. It returns the demand of all known zones as a fraction of their slots, and the part of the demand
-// that is the own zone's.
-func (b *balance) setLevel() (load, ownFraction float64) {
+// setLevel sets Level. It returns Plan.Load and Plan.OwnPart.
+func (b *balance) setLevel() (load, ownPart float64) {
 	var demand, capacity, slots float64
 	for _, z := range b.Zones {
 		if !z.Unknown {
@@ -27,10 +26,16 @@
 	}
 	b.Level = 1
 	if demand == 0 || capacity == 0 {
-		return 0, 0
+		return 0, 1
 	}
 	b.Level = max(1, demand/capacity)
-	return demand / slots, b.Zones[b.Home].Demand / demand
+	ownPart = 1
+	for n, z := range b.Zones {
+		if n != b.Home {
+			ownPart -= min(z.Demand/slots, 1/float64(len(b.Zones)))
+		}
+	}
+	return demand / slots, ownPart
 }
 
 // capacity returns the number of slots that requests can hold before they wait longer than tolerated. The entry hosts of a
--- a/internal/decide/zoneshare/zoneshare.go
+++ b/internal/decide/zoneshare/zoneshare.go
@@ -97,8 +97,8 @@
 	Servers Cause = "servers"
 	// NoServers means that the zone has no usable server of the service.
 	NoServers Cause = "no-servers"
-	// Full means that all zones together have too few slots. Requests then use any free slot, and the entry hosts share the
-	// servers by the demand of their zones, which makes the waits of all zones equal.
+	// Full means that all zones together have too few slots. Requests then use any free slot, and the zones share all servers
+	// evenly, as far as they need them.
 	Full Cause = "all-zones-full"
 	// CutOff means that the zone needs more slots, but its hosts hear of no other zone or reach no servers there.
 	CutOff Cause = "cut-off"
@@ -123,10 +123,10 @@
 	Cause   Cause
 	// Wait is the mean wait up to which requests stay in their zone.
 	Wait time.Duration
-	// Load is the demand of all zones as a fraction of their usable slots, and DemandFraction the part of the demand that is
-	// the zone's own.
-	Load           float64
-	DemandFraction float64
+	// Load is the demand of all zones as a fraction of their usable slots, and OwnPart the part of the slots of all zones that
+	// the others leave to this one if they take as much as they need, up to even parts.
+	Load    float64
+	OwnPart float64
 	// Rising reports whether the share is still below the one that is wanted. Requests that find no free slot in their zone
 	// then leave at once.
 	Rising bool
@@ -140,7 +140,7 @@
 	b := balance{Zones: zones, Home: home, ServiceTime: c.ServiceTime, Wait: ToleratedWait(c)}
 	own := zones[home]
 	plan := Plan{Home: own.Name, Cause: Home, Wait: b.Wait}
-	plan.Load, plan.DemandFraction = b.setLevel()
+	plan.Load, plan.OwnPart = b.setLevel()
 	plan.Targets = b.targets()
 	leaving, limit := b.leaving(), b.limit(own)
 	switch {
--- a/internal/decide/zoneshare/zoneshare_test.go
+++ b/internal/decide/zoneshare/zoneshare_test.go
@@ -55,7 +55,10 @@
 		assertAllows(t, &p, Request{Waited: time.Second, Target: time.Second}, "a")
 	})
 	t.Run("all zones are full", func(t *testing.T) {
-		assertPlan(t, Want([]Zone{zoneWith("a", 90, 40), zoneWith("b", 90, 40)}, home, 40, testCosts()), Full, 0, 0)
+		p := Want([]Zone{zoneWith("a", 90, 40), zoneWith("b", 90, 40)}, home, 40, testCosts())
+		assertPlan(t, p, Full, 0, 0)
+		assertOwnPart(t, p, 0.5)
+		assertOwnPart(t, Want([]Zone{zoneWith("a", 90, 40), zoneWith("b", 8, 40)}, home, 40, testCosts()), 0.9)
 	})
 	t.Run("servers that only other zones can reach are left to them", func(t *testing.T) {
 		unreachable := calm
--- a/internal/node/entrynode/zones.go
+++ b/internal/node/entrynode/zones.go
@@ -3,26 +3,29 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"time"
 
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/internal/zone/zonequery"
+	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
 )
 
 // stepZones updates the plans of zones once in zonecmd.StepInterval. It returns the section for the reports of the
-// iteration, or nil if there is nothing to report.
+// iteration, or nil if they have none. An idle node reports too, because a silent one counts as cut off.
 func (n *Node) stepZones(now time.Time, iteration int) *peerapi.ServiceLoads {
 	if !n.Options.Zones.Enabled || iteration%int(zonecmd.StepInterval/reportInterval) != 0 {
 		return nil
 	}
-	n.reports.zones.Step(now, n.Options.Self, n.Roster.EntryHosts())
-	loads := (&zonequery.Queries{Tables: n.Tables}).Loads()
-	if len(loads) == 0 {
+	entryHosts := n.Roster.EntryHosts()
+	n.reports.zones.Step(now, n.Options.Self, entryHosts)
+	inOtherZone := func(h fleet.Host) bool { return h.AvailabilityZone != n.Options.Self.AvailabilityZone }
+	if !n.isEntryHost(entryHosts) || !slices.ContainsFunc(entryHosts, inOtherZone) {
 		return nil
 	}
-	return peerapi.LoadsMessage(loads)
+	return peerapi.LoadsMessage((&zonequery.Queries{Tables: n.Tables}).Loads())
 }
 
 func zoneReport(now time.Time, m peerapi.Report) table.ZoneReport {
--- a/internal/node/entrynode/zones_test.go
+++ b/internal/node/entrynode/zones_test.go
@@ -11,6 +11,7 @@
 
 	"egretline.example/egretline/internal/decide/zoneshare"
 	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -20,13 +21,19 @@
 const zoneService = "rental-desk"
 
 // newZoneNode returns an entry host in zone a whose callers need 20 slots, with a server of eight slots in each of the zones
-// a and b.
-func newZoneNode(t *testing.T, enabled bool) *Node {
+// a and b, and another entry host in each of the given zones.
+func newZoneNode(t *testing.T, enabled bool, others ...string) *Node {
 	t.Helper()
 	n := newNode(t)
 	n.Options.Zones.Enabled = enabled
 	n.reports.zones.Settings = n.Options.Zones
 	n.rosterCommands.SetReady(true)
+	for _, zone := range others {
+		n.rosterCommands.RecordContact(time.Now(), rostercmd.Announcement{
+			Host:  fleet.Host{ID: zone + "1", AvailabilityZone: zone, PeerAddress: "127.0.0.1:1", Weight: 1},
+			Ready: true,
+		})
+	}
 	n.rosterCommands.SelectEntryHosts(time.Now(), 0)
 	n.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		b.Services[zoneService] = map[string]*table.Backend{
@@ -62,11 +69,11 @@
 // hosts report, or that do either although it is off.
 func TestZones(t *testing.T) {
 	t.Run("reports its load and serves the share", func(t *testing.T) {
-		n := newZoneNode(t, true)
+		n := newZoneNode(t, true, "b")
 		load := stepNow(n)
 		is.New(t).Equal(load.Services[zoneService].Slots, 8.0)
 		is.New(t).True(load.Services[zoneService].Demand > 15)
-		assertMetrics(t, n, `zone-share{service="rental-desk",zone="a",cause="all-zones-full"} `, true)
+		assertMetrics(t, n, `zone-share{service="rental-desk",zone="a",cause="cut-off"} `, true)
 	})
 	t.Run("takes the reports of others", func(t *testing.T) {
 		n := newZoneNode(t, true)
@@ -79,8 +86,17 @@
 			is.New(t).Equal(z.Reports["b1"].AvailabilityZone, "b")
 		})
 	})
+	t.Run("an idle node reports", func(t *testing.T) {
+		n := newZoneNode(t, true, "b")
+		n.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) { clear(q.Services) })
+		load := stepNow(n)
+		is.New(t).True(load != nil && len(load.Services) == 0)
+	})
+	t.Run("one zone has nothing to report", func(t *testing.T) {
+		is.New(t).Equal(stepNow(newZoneNode(t, true)), nil)
+	})
 	t.Run("off", func(t *testing.T) {
-		n := newZoneNode(t, false)
+		n := newZoneNode(t, false, "b")
 		is.New(t).Equal(stepNow(n), nil)
 		assertMetrics(t, n, "zone-", false)
 	})
--- a/internal/zone/zonequery/zonequery.go
+++ b/internal/zone/zonequery/zonequery.go
@@ -15,12 +15,18 @@
 	Tables *table.Tables
 }
 
-// Loads returns this node's own load by service. It is empty if zones have no preference.
+// minReportedDemand is the demand, in slots, below which a service is not reported. Most of hundreds of services are idle at
+// a node.
+const minReportedDemand = 0.05
+
+// Loads returns this node's own load of the services that have demand.
 func (q *Queries) Loads() map[string]zoneshare.Load {
 	loads := map[string]zoneshare.Load{}
 	q.Tables.Zones.Read(guard.Held{}, func(_ guard.Held, z *table.Zones) {
 		for name, s := range z.Services {
-			loads[name] = s.Load
+			if s.Load.Demand >= minReportedDemand {
+				loads[name] = s.Load
+			}
 		}
 	})
 	return loads
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -170,7 +170,7 @@
 func (d *Dispatcher) assignNext(
 	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
 ) bool {
-	if q.InFlight >= d.Workers || !anyServerAvailable(p.Servers, now) {
+	if q.InFlight >= d.Workers || !p.anyServerAvailable(now) {
 		return false
 	}
 	var chosen *table.Backend
@@ -274,9 +274,10 @@
 }
 
 // anyServerAvailable reports whether any server can take a request. It avoids a scan of all waiting requests.
-func anyServerAvailable(servers map[string]*table.Backend, now time.Time) bool {
-	for _, s := range servers {
-		if s.Limit.Allows(s.Outstanding) && healthquery.UseOf(s, true, 0, now) != healthquery.NoUse {
+func (p servicePool) anyServerAvailable(now time.Time) bool {
+	for _, s := range p.Servers {
+		limit := p.raisedLimit(s, now)
+		if limit.Allows(s.Outstanding) && healthquery.UseOf(s, true, 0, now) != healthquery.NoUse {
 			return true
 		}
 	}
@@ -319,14 +320,10 @@
 // limitFor returns the concurrency limit of the server for the ticket. Large responses stay in their availability zone,
 // and therefore only the nodes of that zone share the server's slots for them.
 func (p servicePool) limitFor(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
-	slots := zoneSlots(s, p.ZonePlan, p.Sharing)
-	if t.Bulk && p.Sharing.NodesInZone > 0 && s.Server.AvailabilityZone == zone {
-		slots = admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1)
-	}
-	if slots == 0 {
-		return s.Limit
+	if !t.Bulk || p.Sharing.NodesInZone == 0 || s.Server.AvailabilityZone != zone {
+		return p.raisedLimit(s, now)
 	}
-	return s.Limit.RaisedTo(slots, now)
+	return s.Limit.RaisedTo(admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1), now)
 }
 
 // minClosedFraction is the fraction of a pool whose circuit breakers have to be closed before the servers with an open
--- a/pkg/dispatchcmd/zone.go
+++ b/pkg/dispatchcmd/zone.go
@@ -77,7 +77,8 @@
 	case plan == nil || sharing.NodesInZone == 0:
 		return 0
 	case plan.Cause == zoneshare.Full:
-		return admission.OutstandingOfPart(s.Server.Slots, plan.DemandFraction/float64(sharing.NodesInZone))
+		// The slots that other zones do not need; without them, nodes of a surging zone would leave them idle.
+		return int(float64(s.Server.Slots) * plan.OwnPart / float64(sharing.NodesInZone))
 	case zone == plan.Home:
 		return admission.MaxOutstandingPerNode(s.Server.Slots, sharing.NodesInZone, 1)
 	default:
@@ -85,7 +86,15 @@
 	}
 }
 
-// raisedSlots returns the number of slots by which limitFor raises the limits of the usable servers for all requests.
+// raisedLimit returns the limit of the server for any request.
+func (p servicePool) raisedLimit(s *table.Backend, now time.Time) admission.Limit {
+	if slots := zoneSlots(s, p.ZonePlan, p.Sharing); slots > 0 {
+		return s.Limit.RaisedTo(slots, now)
+	}
+	return s.Limit
+}
+
+// raisedSlots returns the number of slots by which raisedLimit raises the limits of all usable servers.
 func raisedSlots(servers map[string]*table.Backend, plan *zoneshare.Plan, sharing Sharing, now time.Time) int {
 	raised := 0
 	for _, s := range servers {
--- a/pkg/dispatchcmd/zone_test.go
+++ b/pkg/dispatchcmd/zone_test.go
@@ -64,6 +64,7 @@
 // requests are lost.
 func TestZonePlan(t *testing.T) {
 	same := func(*table.Ticket) {}
+	waited := func(t *table.Ticket) { t.Arrived = t.Arrived.Add(-time.Millisecond) }
 	roomInB := zoneshare.Plan{
 		Home: "a", Cause: zoneshare.Home, Wait: 10 * time.Millisecond, Targets: []zoneshare.Target{{Zone: "b", Weight: 1, SlotFraction: 1}},
 	}
@@ -85,6 +86,8 @@
 		{"no usable server at home", zoneshare.Plan{
 			Home: "a", Share: 1, Cause: zoneshare.NoServers, Targets: []zoneshare.Target{{Zone: "c", Weight: 1, SlotFraction: 1}},
 		}, 2, same, map[string]int{"c": 2}},
+		{"all zones are full", zoneshare.Plan{Home: "a", Cause: zoneshare.Full, OwnPart: 1.0 / 3}, 8, waited, map[string]int{"a": 2, "b": 1, "c": 1}},
+		{"all zones are full but others need little", zoneshare.Plan{Home: "a", Cause: zoneshare.Full, OwnPart: 1}, 8, waited, map[string]int{"a": 4, "b": 2, "c": 2}},
 		{"large responses and no slot at home", rising, 6, func(t *table.Ticket) { t.Bulk = true }, map[string]int{"a": 4, "b": 2}},
 	} {
 		t.Run(c.Name, func(t *testing.T) {
