--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -30,6 +30,8 @@
 	gracePeriod = 6 * time.Second
 	// heartbeatInterval is the time between two writes of a backend server's registration.
 	heartbeatInterval = time.Second
+	// zones is the number of availability zones, over which nodes and backend servers are spread.
+	zones = 2
 )
 
 // harness is a fleet of nodes with its platform stand-ins and backend servers. mu guards rng, backends, configVersion, and
@@ -42,6 +44,8 @@
 	store       *standin.Store
 	journal     *standin.Journal
 	calls       callRecorder
+	// zonePreference is the setting of all nodes. It is on for odd seeds.
+	zonePreference bool
 
 	mu            sync.Mutex
 	nodes         []*node
@@ -82,7 +86,7 @@
 	t.Helper()
 	h := &harness{
 		t: t, dir: t.TempDir(), programPath: programPath, rng: rand.New(rand.NewPCG(seed, 1)),
-		store: standin.NewStore(), journal: &standin.Journal{},
+		store: standin.NewStore(), journal: &standin.Journal{}, zonePreference: seed%2 == 1,
 	}
 	server := &http.Server{Handler: h.store, ReadHeaderTimeout: time.Minute}
 	l := listen(t)
@@ -146,7 +150,9 @@
 grace = %q
 retry-ratio = 0.2
 retry-burst = 62
-`, n.id, k%2, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, gracePeriod)
+zone-preference = %t
+`, n.id, k%zones, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, gracePeriod,
+		h.zonePreference)
 	const fileMode = 0o600
 	is.New(h.t).NoErr(os.WriteFile(n.settingsPath, []byte(settings), fileMode))
 	h.nodes = append(h.nodes, n)
@@ -168,8 +174,10 @@
 func (h *harness) addBackend(ctx context.Context, id, service string) {
 	h.mu.Lock()
 	work := time.Duration(20+h.rng.IntN(60)) * time.Millisecond
+	// Pairs of servers, one of each service, alternate between the zones.
+	zone := fmt.Sprintf("z%d", len(h.backends)/2%zones)
 	h.mu.Unlock()
-	b, err := standin.NewBackend(id, service, "z0", work, h.journal)
+	b, err := standin.NewBackend(id, service, zone, work, h.journal)
 	is.New(h.t).NoErr(err)
 	r, relayAddress := h.startRelay(ctx, b.Address)
 	b.Address = relayAddress
