Keep raised limits while a service loses requests

A high loss rate dropped the plan, and with it the raised limits. Only the preference ends now. The test fails without the change.

--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -74,9 +74,6 @@
 				return
 			}
 			slots, trialServers := updateLimits(servers, groupSize, sharing.Nodes, now)
-			if healthquery.HasHighLoss(b.Health[service], now) {
-				zonePlan = nil
-			}
 			admission.Configure(queue, ranks, slots+raisedSlots(servers, zonePlan, sharing, now), trialServers)
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
--- a/pkg/dispatchcmd/zone.go
+++ b/pkg/dispatchcmd/zone.go
@@ -32,11 +32,12 @@
 	planned   bool
 }
 
-// zonePreferenceOf returns the preference of the ticket. While a service loses many requests, it has no plan: all of its
-// servers are used without preference, so that enough of the sound ones get requests.
+// zonePreferenceOf returns the preference of the ticket. While a service loses many requests, all of its servers are used
+// without preference, so that enough of the sound ones get requests. The limits stay as the plan has them, because requests
+// in flight above the limits would count as a backlog and let new ones be refused.
 func (p servicePool) zonePreferenceOf(t *table.Ticket, zone string, now time.Time) zonePreference {
 	v := zonePreference{zone: zone, bulk: t.Bulk}
-	if p.ZonePlan == nil {
+	if p.ZonePlan == nil || p.HighLossRate {
 		return v
 	}
 	v.planned = true
--- a/pkg/dispatchcmd/zone_test.go
+++ b/pkg/dispatchcmd/zone_test.go
@@ -8,7 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"egretline.example/egretline/internal/decide/zoneshare"
+	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
 )
@@ -99,9 +102,7 @@
 	t.Run("a service that loses requests uses all servers", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newZoneFixture(none)
-			f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
-				b.Health[service].Ended, b.Health[service].Unserved, b.Health[service].CountedAt = 100, 20, time.Now()
-			})
+			f.loseRequests()
 			got := slices.Sorted(maps.Keys(f.send(4, same)))
 			if !slices.Equal(got, []string{"a", "b", "c"}) {
 				t.Errorf("requests went to zones %v, want all", got)
@@ -110,6 +111,29 @@
 	})
 }
 
+// loseRequests makes the loss of the service high.
+func (f *fixture) loseRequests() {
+	f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		b.Health[service].Ended, b.Health[service].Unserved, b.Health[service].CountedAt = 100, 20, time.Now()
+	})
+}
+
+// Guards against refusals although servers have free slots: if limits fell when a service begins to lose requests, those in
+// flight would count as a backlog.
+func TestZoneLimitsAtHighLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newZoneFixture(zoneshare.Plan{Home: "a", Cause: zoneshare.Home})
+		defer f.Close()
+		f.roundTrip(f.ticket("t", 10*time.Second, &fakeRunner{}))
+		wait := f.start(f.tickets(4)...)
+		f.loseRequests()
+		fast := map[string]time.Duration{"s2": time.Millisecond, "s3": time.Millisecond}
+		r := f.roundTrip(f.ticket("t", 40*time.Millisecond, &fakeRunner{Durations: fast}))
+		is.New(t).Equal(r.Outcome, fleet.Answered)
+		wait()
+	})
+}
+
 // Guards against servers of other zones that stay unused for long after a failure, because while servers are scarce the
 // trials of all nodes are needed, and against trials that cross zones in calm.
 func TestZoneTrials(t *testing.T) {
