--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -27,6 +27,7 @@
 	"egretline.example/egretline/internal/replica/replicaquery"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/internal/roster/rosterquery"
+	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/dispatchquery"
@@ -85,6 +86,8 @@
 	RetryBurst int
 	// QuotaTolerance is how far the requests of a customer may exceed its limit for the whole fleet.
 	QuotaTolerance quota.Tolerance
+	// Zones are the settings of requests that prefer the availability zone of their callers.
+	Zones zonecmd.Settings
 }
 
 // Log is the client of the platform's log.
@@ -178,6 +181,7 @@
 	n.reports.quotas, n.reports.newReport = newQuotas(t, o, n.started, logger), n.newReport
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
+	n.reports.zones = zonecmd.New(t, o.Zones, logger)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/customer/quotaquery"
+	"egretline.example/egretline/internal/zone/zonequery"
 	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -27,6 +28,7 @@
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.5\"} %d\n", labels, c.P50.Milliseconds())
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
 		}
+		writeZones(&b, &zonequery.Queries{Tables: n.Tables})
 		now := time.Now()
 		writeDispatchCounts(&b, dispatch)
 		writeQueueDepths(&b, dispatch, now)
--- a/internal/node/entrynode/reports.go
+++ b/internal/node/entrynode/reports.go
@@ -7,6 +7,7 @@
 
 	"egretline.example/egretline/internal/customer/quotacmd"
 	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/pkg/fleet"
 )
 
@@ -29,6 +30,9 @@
 type reportExchange struct {
 	sequence atomic.Uint64
 	quotas   *quotacmd.Commands
+	zones    *zonecmd.Commands
+	// load is the section about demand and capacity of the reports that are being sent; nil if they have none.
+	load *peerapi.ServiceLoads
 	// newReport returns a report without sections.
 	newReport func() peerapi.Report
 }
@@ -36,6 +40,9 @@
 // ObserveReport implements peerserver.ReportObserver.
 func (x *reportExchange) ObserveReport(now time.Time, m peerapi.Report) peerapi.Report {
 	x.quotas.Observe(now, m)
+	if m.Load != nil {
+		x.zones.ObserveReport(m.From.ID, zoneReport(now, m))
+	}
 	answer := x.newReport()
 	answer.Customers = x.quotas.Answer(now, m.From.ID, answer.Sequence)
 	return answer
@@ -43,14 +50,15 @@
 
 // fillReport sets the sections of the report for one host, and reports whether there are any.
 func (x *reportExchange) fillReport(now time.Time, to fleet.Host, r *peerapi.Report) bool {
-	r.Customers = x.quotas.Report(now, to.ID, r.Sequence)
+	r.Customers, r.Load = x.quotas.Report(now, to.ID, r.Sequence), x.load
 	return r.Customers != nil || r.Load != nil
 }
 
 // reportLoop sends reports to the other entry hosts.
 func (n *Node) reportLoop(ctx context.Context) {
-	callPeriodically(ctx, reportInterval, func(int) {
+	callPeriodically(ctx, reportInterval, func(iteration int) {
 		now := time.Now()
+		n.reports.load = n.stepZones(now, iteration)
 		for _, h := range n.otherEntryHosts() {
 			report := n.reports.newReport()
 			if !n.reports.fillReport(now, h, &report) {
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/notice"
+	"egretline.example/egretline/internal/decide/zoneshare"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/group"
@@ -63,6 +64,7 @@
 		groupSize = cmp.Or(c.Services[service].GroupSize, groupSize)
 	}
 	sharing := d.currentSharing()
+	zonePlan := d.zonePlan(service)
 	var late, refused []*table.Ticket
 	var pauses notice.Pool
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
@@ -73,10 +75,10 @@
 				return
 			}
 			slots, trialServers := updateLimits(servers, groupSize, sharing.Nodes, now)
-			admission.Configure(queue, ranks, slots, trialServers)
+			admission.Configure(queue, ranks, slots+raisedSlots(servers, zonePlan, sharing, now), trialServers)
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
-			p.Sharing = sharing
+			p.Sharing, p.ZonePlan = sharing, zonePlan
 			pauses = pausesOf(b, service, now)
 			for _, t := range removePaused(queue, pauses, now) {
 				countsOf(q, t).Refused[admission.ServersPaused]++
@@ -166,7 +168,7 @@
 func (d *Dispatcher) assignNext(
 	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
 ) bool {
-	if q.InFlight >= d.Workers || !anyServerAvailable(p.Servers, now) {
+	if q.InFlight >= d.Workers || !p.anyServerAvailable(now) {
 		return false
 	}
 	var chosen *table.Backend
@@ -199,6 +201,8 @@
 type servicePool struct {
 	Servers map[string]*table.Backend
 	Sharing Sharing
+	// ZonePlan tells which requests leave the node's availability zone; nil if zones have no preference.
+	ZonePlan *zoneshare.Plan
 	// Backlog is the time that all slots together need to serve the waiting requests.
 	Backlog time.Duration
 	// HighLossRate reports whether the service is losing a large fraction of its requests.
@@ -271,9 +275,10 @@
 }
 
 // anyServerAvailable reports whether any server can take a request. It avoids a scan of all waiting requests.
-func anyServerAvailable(servers map[string]*table.Backend, now time.Time) bool {
-	for _, s := range servers {
-		if s.Limit.Allows(s.Outstanding) && healthquery.UseOf(s, true, 0, now) != healthquery.NoUse {
+func (p servicePool) anyServerAvailable(now time.Time) bool {
+	for _, s := range p.Servers {
+		limit := p.raisedLimit(s, now)
+		if limit.Allows(s.Outstanding) && healthquery.UseOf(s, true, 0, now) != healthquery.NoUse {
 			return true
 		}
 	}
@@ -284,6 +289,7 @@
 func chooseServer(p servicePool, t *table.Ticket, zone string, now time.Time) *table.Backend {
 	candidates := make([]admission.Server, 0, len(p.Servers))
 	skipOpen := canWaitForClosed(p, t, now)
+	preference := p.zonePreferenceOf(t, zone, now)
 	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
 		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
@@ -294,10 +300,15 @@
 		if state == detect.Open && skipOpen || state == detect.HalfOpen && s.Outstanding > 0 {
 			continue
 		}
+		penalty, allowed := preference.penalty(s)
+		// While servers are scarce, any node may find out that a server has recovered, and so may the one whose turn it is.
+		if !allowed && (state != detect.HalfOpen || !p.allowsEarlyTrial(t) && !detect.SharesTrials(&s.State)) {
+			continue
+		}
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
 		candidates = append(candidates, admission.Server{
 			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
-			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone) + stallingPenalty(s, state, now),
+			BreakerOpen: state == detect.Open, LoadPenalty: penalty + stallingPenalty(s, state, now),
 		})
 	}
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
@@ -311,7 +322,7 @@
 // and therefore only the nodes of that zone share the server's slots for them.
 func (p servicePool) limitFor(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
 	if !t.Bulk || p.Sharing.NodesInZone == 0 || s.Server.AvailabilityZone != zone {
-		return s.Limit
+		return p.raisedLimit(s, now)
 	}
 	return s.Limit.RaisedTo(admission.MaxOutstandingPerNode(s.Server.Slots, p.Sharing.NodesInZone, 1), now)
 }
@@ -352,12 +363,3 @@
 	}
 	return closed > 0 && float64(closed) >= minClosedFraction*float64(usable)
 }
-
-// crossZonePenalty returns the penalty, in outstanding requests, of sending a large response from another availability
-// zone. The response crosses zones only if all slots in the node's zone are taken.
-func crossZonePenalty(s *table.Backend, t *table.Ticket, zone string) int {
-	if !t.Bulk || zone == "" || s.Server.AvailabilityZone == zone {
-		return 0
-	}
-	return s.Server.Slots
-}
