Count at most two hosts that have just become entry hosts

Change: entry hosts count fully after 3 s; before, they leave most of their part themselves if they are cut off.

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -18,7 +18,7 @@
 	// usedTolerance is the fraction of the tolerance that is added to the limits. It keeps hosts from refusing requests of
 	// small customers between two reports. The rest covers what hosts accept before they hear of each other, and a restart
 	// of all hosts, which lose the debts of the buckets.
-	usedTolerance = 0.45
+	usedTolerance = 0.5
 	// maxRetryAfter bounds the delay until a refused request will be accepted.
 	maxRetryAfter = 10 * time.Second
 	// maxPeaks bounds the peaks that a bucket records.
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -14,8 +14,10 @@
 	// FormerReportDuration is how long a host that is no entry host any more goes on reporting. Callers use a host for up to
 	// three times as long as a directory response is valid.
 	FormerReportDuration = 10 * time.Second
-	// settledEntryDuration is the time as an entry host after which callers are likely to use the host for long.
+	// settledEntryDuration is the time as an entry host after which the part of a host stays set aside. While a whole fleet
+	// restarts, dozens of hosts are entry hosts for a moment, and at most maxUnsettled of them are counted.
 	settledEntryDuration = 3 * time.Second
+	maxUnsettled         = 2
 	// leavingDuration is how long the part of a leaving host stays set aside. Such a host refuses requests after 2.5 s.
 	leavingDuration = 6 * time.Second
 	// maxAlone is how long a host that hears no other one keeps their parts set aside.
@@ -35,8 +37,11 @@
 	Seeds     int
 	// FirstStart is set if all hosts have started for the first time.
 	FirstStart bool
-	// HeardAt is the time of the last report from any host, or the start of the process.
-	HeardAt time.Time
+	// SeenAt is when the entry hosts were last recorded.
+	SeenAt time.Time
+	// FirstHeardAt is the time of the first report from any host, and HeardAt that of the last one, or the start of the process.
+	FirstHeardAt time.Time
+	HeardAt      time.Time
 	// InformedSince is the time since which this host was told what others accept: the start of the process, or the first
 	// report after FormerEntryDuration without any.
 	InformedSince time.Time
@@ -47,11 +52,18 @@
 func (m *Membership) Spenders(now time.Time) Spenders {
 	var s Spenders
 	alone := now.Sub(m.HeardAt)
+	var unsettled []string
 	for id, h := range m.Hosts {
-		if h.maySpend(now, alone) {
+		switch {
+		case !h.maySpend(now, alone):
+		case h.settled():
 			s.Hosts = append(s.Hosts, id)
+		default:
+			unsettled = append(unsettled, id)
 		}
 	}
+	slices.Sort(unsettled)
+	s.Hosts = append(s.Hosts, unsettled[:min(len(unsettled), maxUnsettled)]...)
 	slices.Sort(s.Hosts)
 	if alone > maxAlone {
 		return s
@@ -70,6 +82,9 @@
 	if !m.FirstStart && m.neverHeard() {
 		return true
 	}
+	if now.Sub(m.HeardAt) > maxSilence && m.HeardAt.Sub(m.FirstHeardAt) < settledEntryDuration && !m.FirstHeardAt.IsZero() {
+		return true
+	}
 	return len(m.Hosts) > 0 && now.Sub(m.HeardAt) > FormerEntryDuration
 }
 
@@ -86,28 +101,16 @@
 		return false
 	case !h.LeavingSince.IsZero() && now.Sub(h.LeavingSince) > leavingDuration:
 		return false
+	case !h.settled():
+		return now.Sub(h.EntryUntil) <= maxSilence
 	case h.HeardAt.Sub(h.EntryUntil) >= FormerReportDuration-maxSilence:
 		return false
 	}
-	duration := h.setAsideDuration()
-	if duration > 0 {
-		duration += alone
-	}
-	return now.Sub(h.EntryUntil) <= duration
+	return now.Sub(h.EntryUntil) <= FormerEntryDuration+alone
 }
 
-// setAsideDuration returns how long the part of the host stays set aside after it was an entry host. Many hosts are entry
-// hosts for a moment while a whole fleet restarts. Such a host has few callers, and a host that has not been heard since it
-// became an entry host has not heard of others either and leaves most of its part itself.
-func (h *Host) setAsideDuration() time.Duration {
-	switch {
-	case h.EntryUntil.Sub(h.EntrySince) >= settledEntryDuration:
-		return FormerEntryDuration
-	case !h.HeardAt.Before(h.EntrySince):
-		return FormerReportDuration
-	}
-	return 0
-}
+// settled reports whether the host was an entry host for long enough that callers are likely to use it for long.
+func (h *Host) settled() bool { return h.EntryUntil.Sub(h.EntrySince) >= settledEntryDuration }
 
 // Isolated reports whether the host has heard none of the hosts that may accept requests for longer than maxSilence.
 func (m *Membership) Isolated(now time.Time) bool {
@@ -137,6 +140,9 @@
 		m.InformedSince = now
 	}
 	m.HeardAt = now
+	if m.FirstHeardAt.IsZero() {
+		m.FirstHeardAt = now
+	}
 	return arrival, true
 }
 
@@ -154,11 +160,12 @@
 func (m *Membership) SeeEntryHosts(now time.Time, ids []string) {
 	for _, id := range ids {
 		h := m.Host(id)
-		if now.Sub(h.EntryUntil) > maxSilence {
+		if h.EntryUntil.IsZero() || h.EntryUntil.Before(m.SeenAt) {
 			h.EntrySince = now
 		}
 		h.EntryUntil, h.LeavingSince = now, time.Time{}
 	}
+	m.SeenAt = now
 	for id, h := range m.Hosts {
 		last := h.EntryUntil
 		if h.HeardAt.After(last) {
