Let requests that servers turned away wait for the retry budget

Change: such a request waits at the host until the budget allows another attempt. Of those waiting, what can still be in time goes first, by rank, the newest of a rank first; the others follow in order of their latest start. What the budget cannot pay for before its deadline is refused at once, with a Retry-After from the refill. A wait ends after two objectives while servers still turn requests away, and after a quarter of the objective if the deadline is near. Each request earns its deposit when it arrives. A wait no longer counts as used time when servers with an open circuit breaker are considered.

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -351,7 +351,9 @@
 // retryBudgetParams returns the node's share of the fleet's retry budget. A node that is not an entry host receives only
 // a few requests and leaves the burst to the entry hosts.
 func (n *Node) retryBudgetParams() retry.BudgetParams {
-	params := retry.BudgetParams{Deposit: n.Options.RetryRatio * usedRetryFraction, MaxBalance: 1, UnsentIsFree: true}
+	params := retry.BudgetParams{
+		Deposit: n.Options.RetryRatio * usedRetryFraction, MaxBalance: 1, UnsentIsFree: true, Patient: n.Options.RetryRatio > 0,
+	}
 	if entryHosts := n.Roster.EntryHosts(); n.isEntryHost(entryHosts) {
 		params.MaxBalance = max(1, float64(n.Options.RetryBurst)*usedRetryFraction/float64(len(entryHosts)))
 	}
--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -30,6 +30,9 @@
 	// UnsentIsFree specifies that a retry is free if no byte of the failed attempt was sent. It is meant for a budget that
 	// limits the requests that arrive at backend servers.
 	UnsentIsFree bool
+	// Patient specifies that requests which servers turned away wait at the host while the budget is spent, and that each
+	// request earns its deposit when it arrives rather than after its first attempt.
+	Patient bool
 }
 
 // DefaultBudgetParams returns the parameters of a node that does not share its budget with other nodes.
@@ -102,11 +105,25 @@
 	RunsSpent Reason = "runs-spent"
 	// BudgetSpent means that the balance of the service's retry budget is too low.
 	BudgetSpent Reason = "retry-budget-spent"
+	// Waits means that the request waits at the host until the budget allows another attempt.
+	Waits Reason = "waits-for-retry-budget"
 )
 
 // Decide returns Allowed if the request is attempted again, and otherwise the reason why not. It charges the budget for
 // an allowed retry, unless the retry is free.
 func Decide(a Attempt, b *Budget) Reason {
+	switch reason := DecideUnpaid(a); {
+	case reason != Allowed:
+		return reason
+	case b.Params.UnsentIsFree && !a.Sent || TryWithdraw(b):
+		return Allowed
+	default:
+		return BudgetSpent
+	}
+}
+
+// DecideUnpaid is Decide without the budget.
+func DecideUnpaid(a Attempt) Reason {
 	switch {
 	case a.Evidence == fleet.Succeeded:
 		return Complete
@@ -122,10 +139,8 @@
 		return RunsSpent
 	case a.Attempts >= MaxAttempts:
 		return AttemptsSpent
-	case b.Params.UnsentIsFree && !a.Sent || TryWithdraw(b):
-		return Allowed
 	default:
-		return BudgetSpent
+		return Allowed
 	}
 }
 
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -20,6 +20,7 @@
 // requests that can no longer meet their deadline. It deletes the usage records of idle tenants.
 func (d *Dispatcher) Sweep(now time.Time) {
 	d.dropIdleTenants(now)
+	d.releaseAllWaiting(now)
 	d.assignAllServices(now)
 }
 
@@ -318,9 +319,14 @@
 const minClosedFraction = 0.2
 
 // canWaitForClosed reports whether the ticket should wait for a server with a closed circuit breaker instead of going
-// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left.
+// to one with an open breaker: enough breakers are closed, and at least half of the ticket's time is left. The time for
+// which it waited for the retry budget does not count.
 func canWaitForClosed(p servicePool, t *table.Ticket, now time.Time) bool {
-	if t.Deadline.Sub(now) < t.Deadline.Sub(t.Arrived)/2 {
+	since := t.Arrived
+	if t.WaitEnded.After(since) {
+		since = t.WaitEnded
+	}
+	if t.Deadline.Sub(now) < t.Deadline.Sub(since)/2 {
 		return false
 	}
 	closed, usable := 0, 0
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -95,8 +95,9 @@
 func (d *Dispatcher) StopAt(stop, now time.Time) {
 	d.DisableBackups()
 	var refused []admission.Item[*table.Ticket]
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+	d.Tables.Queues.Write(guard.Held{}, func(h guard.Held, q *table.Queues) {
 		q.StopTime = stop
+		refused = d.stopWaiting(h)
 		for _, queue := range q.Services {
 			refused = append(refused, admission.StopAt(queue, stop, now)...)
 		}
@@ -139,6 +140,7 @@
 	if !d.hasBackends(t.Service) {
 		return ServiceError{Service: t.Service}
 	}
+	d.depositArrival(t, now)
 	var displaced []*table.Ticket
 	var err error
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
@@ -152,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	d.releaseWaiting(now, t.Service)
 	d.assignWaiting(now, t.Service)
 	return nil
 }
@@ -194,9 +197,9 @@
 // arrives on the Done channel.
 func (d *Dispatcher) Cancel(t *table.Ticket) bool {
 	var removed bool
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+	d.Tables.Queues.Write(guard.Held{}, func(h guard.Held, q *table.Queues) {
 		queue, ok := q.Services[t.Service]
-		removed = ok && admission.Remove(queue, t.Rank, t.ID)
+		removed = ok && admission.Remove(queue, t.Rank, t.ID) || d.removeWaiting(h, t)
 		if removed {
 			countsOf(q, t).Abandoned++
 			d.recordOutcome(q, t, unsentOutcome(t))
--- a/pkg/dispatchcmd/errors.go
+++ b/pkg/dispatchcmd/errors.go
@@ -53,6 +53,16 @@
 	return fmt.Sprintf("attempt at backend server %s was superseded by its backup attempt", e.Address)
 }
 
+// TurnedAwayError reports a request that servers turned away and that found no server in the time that it had.
+type TurnedAwayError struct {
+	Service    string
+	RetryAfter time.Duration
+}
+
+func (e TurnedAwayError) Error() string {
+	return fmt.Sprintf("servers of service %q turned the request away until its time was over; retry after %s", e.Service, e.RetryAfter)
+}
+
 // AttemptsError reports a request whose last attempt got no response.
 type AttemptsError struct {
 	Attempts int
@@ -72,6 +82,10 @@
 	if errors.As(err, &refused) {
 		return refused.RetryAfter
 	}
+	var turnedAway TurnedAwayError
+	if errors.As(err, &turnedAway) {
+		return turnedAway.RetryAfter
+	}
 	if errors.As(err, &ClosingError{}) {
 		return admission.StoppingRetryAfter
 	}
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -25,6 +25,12 @@
 		d.requeue(a, r)
 		return
 	}
+	if reason == retry.Waits {
+		t.Runner.Discard()
+		d.releaseAttempt(a, r, started)
+		d.wait(a, r)
+		return
+	}
 	r = d.finish(a, r, reason)
 	d.releaseAttempt(a, r, started)
 	d.settle(t, r)
@@ -40,7 +46,7 @@
 	} else {
 		t.Runner.Discard()
 		r.Outcome = retry.Outcome(retryAttempt(a, r, 0))
-		r.RetryAfter = d.retryAfter(t)
+		r.RetryAfter = d.retryAfterTurnedAway(t, d.retryAfter(t))
 		r.Err = AttemptsError{Attempts: t.Attempt + 1, Reason: reason, Err: r.Err}
 	}
 	if reason != retry.Complete {
@@ -83,9 +89,14 @@
 	if t.Context.Err() != nil {
 		left = 0
 	}
+	w := d.waitingTicket(t, r.Evidence)
 	var reason retry.Reason
 	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
 		budget := d.budgetOf(b, t.Service)
+		if budget.Params.Patient {
+			reason = d.decidePatiently(b, a, r, w, left)
+			return
+		}
 		if t.Attempt == 0 {
 			retry.Deposit(budget)
 		}
@@ -95,9 +106,11 @@
 		return reason
 	}
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
-		if reason == retry.Allowed {
+		switch reason {
+		case retry.Allowed:
 			countsOf(q, t).Retries++
-		} else {
+		case retry.Waits:
+		default:
 			countsOf(q, t).NotRetried[reason]++
 		}
 	})
@@ -118,10 +131,7 @@
 // requeue puts the ticket back into its queue for another attempt.
 func (d *Dispatcher) requeue(a table.Assignment, r table.Result) {
 	t := a.Ticket
-	t.Attempt++
-	t.TriedAddresses = append(t.TriedAddresses, a.Server.Address)
-	t.MayHaveRun = t.MayHaveRun || !retry.ProvenNotRun(retryAttempt(a, r, 0))
-	t.PossibleRuns += possibleRuns(r)
+	recordAttempt(a, r)
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
 		admission.Push(queueOf(q, t.Service), queueItem(t))
 	})
@@ -133,6 +143,15 @@
 	d.assignWaiting(time.Now(), t.Service)
 }
 
+// recordAttempt records in its ticket that an attempt ended and that the request is attempted again.
+func recordAttempt(a table.Assignment, r table.Result) {
+	t := a.Ticket
+	t.MayHaveRun = t.MayHaveRun || !retry.ProvenNotRun(retryAttempt(a, r, 0))
+	t.PossibleRuns += possibleRuns(r)
+	t.TriedAddresses = append(t.TriedAddresses, a.Server.Address)
+	t.Attempt++
+}
+
 // releaseAttempt records the result of the attempt, and frees the slot of the backend server and the worker.
 func (d *Dispatcher) releaseAttempt(a table.Assignment, r table.Result, started time.Time) {
 	now := time.Now()
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -57,6 +57,16 @@
 	// Params are the parameters of a new budget.
 	Params   retry.BudgetParams
 	Services map[string]*retry.Budget
+	// Patience holds the requests of each service that wait for the budget.
+	Patience map[string]*retry.Patience[*Ticket]
+}
+
+func newBudgets() Budgets {
+	return Budgets{
+		Params:   retry.DefaultBudgetParams(),
+		Services: map[string]*retry.Budget{},
+		Patience: map[string]*retry.Patience[*Ticket]{},
+	}
 }
 
 func newQueues() Queues {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -51,7 +51,7 @@
 		Queues:   guard.New(RankQueues, newQueues()),
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
-		Budgets:  guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
+		Budgets:  guard.New(RankBudgets, newBudgets()),
 	}
 }
 
@@ -111,6 +111,8 @@
 	Attempt    int
 	// Trial reports whether the last attempt was sent to a server with a half-open circuit breaker.
 	Trial bool
+	// WaitEnded is when the request last ended a wait for the retry budget; zero if it never waited for it.
+	WaitEnded time.Time
 	// TriedAddresses lists the server addresses of earlier attempts.
 	TriedAddresses []string
 	// PossibleRuns is the number of earlier attempts that may have run the request.
