Decide what a node may send to servers that others use too

Change: Acceptance tells full servers, which take requests at little load, from servers that turn them away at any load. Borrowing lets the share of a node whose requests wait grow in steps of a quarter, until a full server turns a request away; it returns to the even share after two seconds without waiting requests. No counter is shared.

--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -30,6 +30,116 @@
 	return min(slots, int(math.Ceil(overcommitFactor*float64(slots)/(float64(sharers)*reachable))))
 }
 
+const (
+	// acceptanceGain is the weight of one attempt in an Acceptance, and minAcceptanceCount the number of attempts from which
+	// it says anything.
+	acceptanceGain     = 1.0 / 16
+	minAcceptanceCount = 8
+	// randomShedFraction is the fraction of attempts at little loaded servers above which being turned away says nothing
+	// about the load.
+	randomShedFraction = 0.2
+)
+
+// Acceptance tells servers that are full from servers that turn requests away at random, whatever their load: a full server
+// turns requests away when much is outstanding there and takes them when little is. If servers turn away what reaches them
+// at little load as well, a lower limit would leave places unused and get no request more served. The zero value has seen
+// nothing.
+type Acceptance struct {
+	// Shed is a moving average of the fraction of attempts that were turned away by servers at which this node had at most
+	// half of its limit outstanding.
+	Shed  float64
+	Count int
+}
+
+// Observe records an attempt. The argument outstanding includes the attempt itself.
+func (a *Acceptance) Observe(outstanding int, l Limit, shed bool) {
+	if outstanding > max(1, l.Max()/2) {
+		return
+	}
+	value := 0.0
+	if shed {
+		value = 1
+	}
+	a.Count++
+	a.Shed += max(acceptanceGain, 1/float64(a.Count)) * (value - a.Shed)
+}
+
+// Random reports whether servers turn requests away at random.
+func (a *Acceptance) Random() bool {
+	return a.Count >= minAcceptanceCount && a.Shed > randomShedFraction
+}
+
+const (
+	// borrowAfterWaiting is the time for which a node that had to let requests wait may use more than its even share.
+	borrowAfterWaiting = 2 * time.Second
+	// borrowStep is the factor by which the share grows each borrowInterval while requests wait. If all nodes need more,
+	// the first step that finds the servers full overfills them by little; a twentyfold share takes 3.5 s.
+	borrowStep     = 1.25
+	borrowInterval = 250 * time.Millisecond
+	// returnStep is the factor by which the share shrinks at most each returnInterval while full servers turn requests away.
+	returnStep     = 2
+	returnInterval = 500 * time.Millisecond
+	// firstBorrowPause is the time without growth after a full server turned a request away. It doubles with each time that
+	// growth ended so, up to maxBorrowPause: then the other nodes need their places themselves.
+	firstBorrowPause = 2 * time.Second
+	maxBorrowPause   = 32 * time.Second
+	// maxBorrowSlowness is the slowness of a server above which no more than the even share is sent to it.
+	maxBorrowSlowness = 1.5
+)
+
+// Borrowing decides whether a node may use more than its even share of the servers of a service. It answers demand that
+// differs between entry hosts: the share of a node whose requests wait grows into places that the others leave free, until
+// a full server turns a request away. A node without waiting requests returns to its share after two seconds. The zero
+// value borrows nothing.
+type Borrowing struct {
+	// Extra is the part of an even share that is used beyond it.
+	Extra float64
+	// LastWaiting is the time at which requests last waited for a place. LastGrown and LastReturned are the times of the
+	// last changes of Extra.
+	LastWaiting  time.Time
+	LastGrown    time.Time
+	LastReturned time.Time
+	// PausedUntil is the end of the pause after a full server turned a request away, and Pause its length.
+	PausedUntil time.Time
+	Pause       time.Duration
+}
+
+// ObserveWaiting records that requests wait for a place.
+func (b *Borrowing) ObserveWaiting(now time.Time) {
+	if now.Sub(b.LastWaiting) > borrowAfterWaiting {
+		b.Extra = 0
+	}
+	b.LastWaiting = now
+	if !now.Before(b.PausedUntil) && now.Sub(b.LastGrown) >= borrowInterval {
+		b.Extra = (1+b.Extra)*borrowStep - 1
+		b.LastGrown = now
+	}
+}
+
+// ObserveShed records that a full server turned a request away.
+func (b *Borrowing) ObserveShed(now time.Time) {
+	if now.Sub(b.LastReturned) >= returnInterval {
+		b.Extra = max(0, (1+b.Extra)/returnStep-1)
+		b.LastReturned = now
+	}
+	if now.Before(b.PausedUntil) {
+		return
+	}
+	if now.Sub(b.PausedUntil) > maxBorrowPause {
+		b.Pause = 0
+	}
+	b.Pause = min(max(2*b.Pause, firstBorrowPause), maxBorrowPause)
+	b.PausedUntil = now.Add(b.Pause)
+}
+
+// Ceiling returns the upper bound of the limit at a server with the given slowness, given the even share.
+func (b *Borrowing) Ceiling(even, slots int, slowness float64, now time.Time) int {
+	if now.Sub(b.LastWaiting) > borrowAfterWaiting || slowness > maxBorrowSlowness {
+		return even
+	}
+	return max(even, min(slots, int(float64(even)*(1+b.Extra))))
+}
+
 // Limit is the adaptive concurrency limit of one node at one backend server. Value may be fractional, because several
 // nodes share the server's slots.
 type Limit struct {
--- a/pkg/decide/admission/limit_test.go
+++ b/pkg/decide/admission/limit_test.go
@@ -1,7 +1,9 @@
 package admission
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -45,3 +47,111 @@
 		is.Equal(l.Max(), 6) // the limit grows after another node left
 	})
 }
+
+// assertRandom fails if servers of which the given share of attempts is turned away at little and at much load count as
+// turning requests away at random, or do not.
+func assertRandom(t *testing.T, littleLoad, muchLoad int, want bool) {
+	t.Helper()
+	var a Acceptance
+	l := NewLimit(4, 1)
+	for k := range 100 {
+		a.Observe(1, l, k%10 < littleLoad)
+		a.Observe(4, l, k%10 < muchLoad)
+	}
+	is.New(t).Equal(a.Random(), want)
+}
+
+// Guards against limits that collapse because servers turn requests away whatever their load.
+func TestAcceptance(t *testing.T) {
+	t.Run("full servers take requests at little load", func(t *testing.T) { assertRandom(t, 0, 8, false) })
+	t.Run("others turn them away at any load", func(t *testing.T) { assertRandom(t, 5, 5, true) })
+	t.Run("sound servers", func(t *testing.T) { assertRandom(t, 0, 0, false) })
+}
+
+// playShares plays rounds in which nodes share servers of four slots that also queue two requests, and the first node has
+// half of the demand, in requests for each slot. It returns the requests of the first node that got a place in the last
+// round, the fraction of all requests that was turned away, and the demand of the first node.
+func playShares(nodes int, utilization float64, borrow bool) (placed int, turnedAway float64, demand int) {
+	const servers, slots, queued, rounds = 30, 4, 2, 40
+	demand = int(servers * slots * utilization / 2)
+	other := (demand + nodes - 2) / (nodes - 1)
+	borrowing := make([]Borrowing, nodes)
+	sentTotal := 0
+	for round := range rounds {
+		now := start.Add(time.Duration(round) * borrowInterval)
+		load := make([]int, servers)
+		for k := range nodes {
+			n := (k + round) % nodes // each node is the last to come in some rounds
+			want := other
+			if n == 0 {
+				want = demand
+			}
+			perServer := MaxOutstandingPerNode(slots, nodes, 1)
+			total := MaxOutstandingPerNode(servers*slots, nodes, 1)
+			if borrow {
+				perServer, total = borrowing[n].Ceiling(perServer, slots, 1, now), borrowing[n].Ceiling(total, servers*slots, 1, now)
+			}
+			sent := min(want, total, perServer*servers)
+			if sent < want {
+				borrowing[n].ObserveWaiting(now)
+			}
+			sentTotal += sent
+			for k := range sent {
+				s := (k + n*servers/nodes) % servers
+				if load[s] == slots+queued {
+					turnedAway++
+					borrowing[n].ObserveShed(now)
+					continue
+				}
+				load[s]++
+				if n == 0 && round == rounds-1 {
+					placed++
+				}
+			}
+		}
+	}
+	return placed, turnedAway / float64(sentTotal), demand
+}
+
+// The load: one entry host has half of the demand of the fleet, whatever the size of the fleet. Guards against a node whose
+// requests wait while places that other nodes could use are free, and against nodes that together overfill the servers.
+func TestBorrowing(t *testing.T) {
+	for _, nodes := range []int{3, 5, 15, 60} {
+		t.Run(fmt.Sprint(nodes, " entry hosts"), func(t *testing.T) {
+			is := is.New(t)
+			even, _, demand := playShares(nodes, 0.9, false)
+			placed, turnedAway, _ := playShares(nodes, 0.9, true)
+			_, overload, _ := playShares(nodes, 2, true)
+			t.Logf("of %d requests, %d get a place in even shares, %d with borrowing; %.3f turned away, %.3f at twice the capacity",
+				demand, even, placed, turnedAway, overload)
+			is.True(placed >= even && placed >= demand*9/10)
+			is.True(turnedAway <= 0.02)
+			is.True(overload <= 0.2) // the retry budget
+		})
+	}
+	borrowed := func() *Borrowing {
+		b := &Borrowing{}
+		for k := range 8 {
+			b.ObserveWaiting(start.Add(time.Duration(k-7) * borrowInterval))
+		}
+		return b
+	}
+	t.Run("a node without waiting requests returns to its share", func(t *testing.T) {
+		is := is.New(t)
+		b := borrowed()
+		is.Equal(b.Ceiling(2, 4, 1, start.Add(borrowAfterWaiting)), 4)
+		is.Equal(b.Ceiling(2, 4, 1, start.Add(borrowAfterWaiting+1)), 2)
+		is.Equal(b.Ceiling(2, 4, 2, start), 2) // a server that got slow
+	})
+	t.Run("full servers end the growth for a time that doubles", func(t *testing.T) {
+		is := is.New(t)
+		b := borrowed()
+		extra := b.Extra
+		b.ObserveShed(start)
+		b.ObserveShed(start)
+		is.True(b.Extra < extra && b.Extra > 0)
+		is.Equal(b.PausedUntil, start.Add(firstBorrowPause))
+		b.ObserveShed(start.Add(firstBorrowPause))
+		is.Equal(b.PausedUntil, start.Add(3*firstBorrowPause))
+	})
+}
