Place requests by the speed of servers and warm connections

Cause: the choice of a server was the fewest outstanding requests.

Change: the expected latency decides: outstanding requests times the slowness of the server, a peak-sensitive moving average relative to the typical latency of the route at little load, shrunk towards an average server with few or old observations. Of about equal servers one without any result goes first, one at a time, then one with a warm connection; requests that are not idempotent get the connections used last. A half-open server keeps its odds. At a high loss rate servers unused for a second go first. Backup attempts use the same choice. Entry nodes apply the limits by evidence and the borrowed shares.

--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// HasWarm reports whether an idle connection to the address can carry a request.
+func (p *Pool) HasWarm(address string, idempotent bool, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return false
+	}
+	newest := list[len(list)-1]
+	return now.Sub(newest.idleSince) <= min(maxIdle(idempotent), newest.idleTimeout)
+}
+
+// maxIdle returns how long a connection may have been idle before it carries a request.
+func maxIdle(idempotent bool) time.Duration {
+	if idempotent {
+		return maxIdleDuration
+	}
+	return maxIdleForNonIdempotent
+}
+
 func (p *Pool) popIdle(address, requestID string, maxAge time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -182,11 +182,7 @@
 }
 
 func (e *Exchange) connect(ctx context.Context, address string) (*Conn, error) {
-	maxAge := maxIdleDuration
-	if !e.Idempotent {
-		maxAge = maxIdleForNonIdempotent
-	}
-	if c := e.Pool.Take(address, e.RequestID, maxAge); c != nil {
+	if c := e.Pool.Take(address, e.RequestID, maxIdle(e.Idempotent)); c != nil {
 		return c, nil
 	}
 	return e.Pool.Dial(ctx, address)
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -177,6 +177,7 @@
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
+	n.Dispatcher.Conns = n.conns
 	n.Dispatcher.AvailabilityZone = o.Self.AvailabilityZone
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.syncPool = pool.New("sync", syncWorkers, syncWorkers, n.sync)
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -72,11 +72,16 @@
 			if !ok {
 				return
 			}
-			slots, trialServers := updateLimits(servers, groupSize, sharing.Nodes, now)
+			slots, trialServers := updateLimits(servers, groupSize, sharing.Nodes, d.borrowing(b, queue, service, now), now)
+			if d.Conns != nil {
+				slots = min(slots, evenSlots(servers, sharing.Nodes, placesOf(b, service).Borrowing, now))
+			}
 			admission.Configure(queue, ranks, slots, trialServers)
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
 			p.Sharing = sharing
+			p.Placing = d.placing()
+			p.TurnsAwayAtRandom = placesOf(b, service).Acceptance.Random()
 			pauses = pausesOf(b, service, now)
 			for _, t := range removePaused(queue, pauses, now) {
 				countsOf(q, t).Refused[admission.ServersPaused]++
@@ -124,13 +129,16 @@
 // updateLimits initializes and bounds the concurrency limits of the servers. It returns the sum of the limits of the
 // servers in normal use, from which the queueing delay of a request is estimated, and the number of servers that get
 // only trial requests.
-func updateLimits(servers map[string]*table.Backend, groupSize, sharingNodes int, now time.Time) (slots, trialServers int) {
+func updateLimits(
+	servers map[string]*table.Backend, groupSize, sharingNodes int, borrowing admission.Borrowing, now time.Time,
+) (slots, trialServers int) {
 	reachable := reachableFraction(servers, now)
 	for _, s := range servers {
 		if s.Limit.Slots != s.Server.Slots {
 			s.Limit = admission.NewLimit(s.Server.Slots, groupSize)
 		}
-		s.Limit.SetCeiling(admission.MaxOutstandingPerNode(s.Server.Slots, sharingNodes, reachable))
+		even := admission.MaxOutstandingPerNode(s.Server.Slots, sharingNodes, reachable)
+		s.Limit.SetCeiling(borrowing.Ceiling(even, s.Server.Slots, s.Speed.Slowness(now), now))
 		if healthquery.UseOf(s, false, 0, now) != healthquery.NormalUse {
 			continue
 		}
@@ -205,6 +213,9 @@
 	HighLossRate bool
 	// HalfUtilized reports whether the servers with a closed circuit breaker have at least half of their slots in use.
 	HalfUtilized bool
+	// TurnsAwayAtRandom reports whether servers turn requests away whatever their load.
+	TurnsAwayAtRandom bool
+	Placing           placing
 }
 
 func newServicePool(
@@ -295,8 +306,10 @@
 		candidates = append(candidates, admission.Server{
 			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
 			BreakerOpen: state == detect.Open, LoadPenalty: crossZonePenalty(s, t, zone),
+			Probation: state == detect.HalfOpen,
 		})
 	}
+	p.Placing.describe(candidates, p, t, now)
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
 	if n < 0 {
 		return nil
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -1,8 +1,9 @@
 package dispatchcmd
 
 import (
-	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"egretline.example/egretline/pkg/decide/admission"
@@ -131,14 +132,14 @@
 	return backup
 }
 
-// reserveBackupSlot takes a slot of the least loaded server with a closed circuit breaker, and pays for the attempt
+// reserveBackupSlot takes a slot of a server with a closed circuit breaker, and pays for the attempt
 // from the retry budget.
 func (d *Dispatcher) reserveBackupSlot(a table.Assignment, now time.Time) (table.Assignment, bool) {
 	t := a.Ticket
 	var reserved bool
 	out := table.Assignment{Ticket: t, BreakerState: detect.Closed}
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
-		s := leastLoaded(b.Services[t.Service], a.Server.Address, now)
+		s := d.chooseBackup(a, b, now)
 		if s == nil {
 			return
 		}
@@ -153,21 +154,25 @@
 	return out, reserved
 }
 
-// leastLoaded returns the server with a closed circuit breaker, a free slot and the fewest outstanding requests, or nil
-// if there is none. It skips the server at the excluded address.
-func leastLoaded(servers map[string]*table.Backend, excluded string, now time.Time) *table.Backend {
-	var best *table.Backend
-	for address, s := range servers {
-		if address == excluded || !s.Limit.Allows(s.Outstanding) ||
-			healthquery.UseOf(s, false, 0, now) != healthquery.NormalUse ||
+// chooseBackup returns the server for a backup attempt of the assignment's ticket, or nil if no other server with a closed
+// circuit breaker has a free slot.
+func (d *Dispatcher) chooseBackup(a table.Assignment, b *table.Backends, now time.Time) *table.Backend {
+	p := servicePool{Servers: b.Services[a.Ticket.Service], Placing: d.placing()}
+	var candidates []admission.Server
+	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
+		s := p.Servers[address]
+		if address == a.Server.Address || healthquery.UseOf(s, false, 0, now) != healthquery.NormalUse ||
 			detect.BreakerStateOf(&s.State, false, now) != detect.Closed {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(s.Outstanding, best.Outstanding), cmp.Compare(address, best.Server.Address)) < 0 {
-			best = s
-		}
+		candidates = append(candidates, admission.Server{Address: address, Outstanding: s.Outstanding, Limit: s.Limit})
+	}
+	p.Placing.describe(candidates, p, a.Ticket, now)
+	n := admission.Choose(candidates, a.Ticket.ID, nil)
+	if n < 0 {
+		return nil
 	}
-	return best
+	return p.Servers[candidates[n].Address]
 }
 
 // hasTimeForAttempt reports whether enough time is left before the deadline for another attempt.
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -36,6 +36,8 @@
 	AvailabilityZone string
 	// MarginDeviations is the value of admission.Queue.MarginDeviations for all queues.
 	MarginDeviations float64
+	// Conns holds the node's connections. If it is nil, requests are placed by outstanding requests alone.
+	Conns WarmConns
 
 	exchange *pool.Pool[table.Assignment]
 	// sharing is the last value given to SetSharing.
--- /dev/null
+++ b/pkg/dispatchcmd/placing_test.go
@@ -0,0 +1,150 @@
+package dispatchcmd
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// fakeConns keeps one connection to each server open for 5 s, and counts the connections that were opened.
+type fakeConns struct {
+	mu     sync.Mutex
+	idle   map[string]time.Time
+	opened int
+	sent   map[string]int
+}
+
+func (c *fakeConns) HasWarm(address string, idempotent bool, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isWarm(address, idempotent, now)
+}
+
+func (c *fakeConns) isWarm(address string, idempotent bool, now time.Time) bool {
+	since, known := c.idle[address]
+	return known && (now.Sub(since) <= 300*time.Millisecond || idempotent && now.Sub(since) <= 5*time.Second)
+}
+
+func (c *fakeConns) take(address string, idempotent bool, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWarm(address, idempotent, now) {
+		c.opened++
+	}
+	delete(c.idle, address)
+	c.sent[address]++
+}
+
+func (c *fakeConns) put(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[address] = time.Now()
+}
+
+// placedRunner is a request over such connections. The servers whose number ends in 3 are five times as slow as the others.
+type placedRunner struct {
+	fakeRunner
+	conns      *fakeConns
+	idempotent bool
+}
+
+func (r *placedRunner) Send(ctx context.Context, s fleet.BackendServer) table.Result {
+	started := time.Now()
+	r.conns.take(s.Address, r.idempotent, started)
+	duration := 160 * time.Millisecond
+	if s.Address[len(s.Address)-1] == '3' {
+		duration *= 5
+	}
+	r.Durations = map[string]time.Duration{s.Address: duration}
+	result := r.fakeRunner.Send(ctx, s)
+	r.conns.put(s.Address)
+	result.Latency = time.Since(started)
+	return result
+}
+
+type placingOutcome struct{ late, opened, joinedUnused int }
+
+// playPlacing plays 80 requests a second, a third of them idempotent, for ten seconds over 40 servers. Five more servers join
+// after three seconds.
+func playPlacing(t *testing.T, placed bool) (o placingOutcome) {
+	t.Helper()
+	const servers, joining, rate, seconds = 40, 5, 80, 10
+	runInBubble(t, 400, servers, func(_ *is.I, f *fixture) {
+		conns := &fakeConns{idle: map[string]time.Time{}, sent: map[string]int{}}
+		if placed {
+			f.Conns = conns
+		}
+		done := make(chan bool)
+		for k := range rate * seconds {
+			if k == 3*rate {
+				f.join(servers, joining)
+			}
+			one := f.ticket("a", 5*time.Second, nil)
+			one.Idempotent = k%3 == 0
+			one.Runner = &placedRunner{conns: conns, idempotent: one.Idempotent}
+			go func() {
+				f.roundTrip(one)
+				done <- time.Since(one.Arrived) > 500*time.Millisecond
+			}()
+			time.Sleep(time.Second / rate)
+		}
+		for range rate * seconds {
+			if <-done {
+				o.late++
+			}
+		}
+		o.opened = conns.opened
+		for n := range joining {
+			if conns.sent[fmt.Sprint("s", servers+n)] == 0 {
+				o.joinedUnused++
+			}
+		}
+	})
+	return o
+}
+
+// join adds servers to the service.
+func (f *fixture) join(first, count int) {
+	f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for n := range count {
+			s := fleet.BackendServer{Address: fmt.Sprint("s", first+n), Slots: 2}
+			b.Services[service][s.Address] = &table.Backend{Server: s, FirstSeen: time.Now(), InFlight: map[string]table.InFlight{}}
+		}
+	})
+}
+
+// The load: calm traffic to servers of which a tenth is five times as slow as the others. Guards against late responses from
+// slow servers while fast ones are idle, against a new connection for most requests, and against servers that join and get
+// no request.
+func TestPlacing(t *testing.T) {
+	is := is.New(t)
+	before, after := playPlacing(t, false), playPlacing(t, true)
+	t.Logf("by outstanding requests: %+v; by speed and connections: %+v", before, after)
+	is.True(after.late <= before.late/2)
+	is.True(after.opened <= before.opened/3)
+	is.Equal(after.joinedUnused, 0)
+}
+
+// Guards against backup attempts that all go to the server with the lowest address.
+func TestBackupPlacing(t *testing.T) {
+	runInBubble(t, 32, 8, func(is *is.I, f *fixture) {
+		chosen := map[string]int{}
+		for k := range 100 {
+			a := table.Assignment{Ticket: &table.Ticket{ID: fmt.Sprint(k), Service: service}, Server: fleet.BackendServer{Address: "s0"}}
+			f.roundTrip(f.ticket("a", time.Minute, &fakeRunner{})) // sets the limits
+			f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+				chosen[f.chooseBackup(a, b, time.Now()).Server.Address]++
+			})
+		}
+		is.Equal(len(chosen), 7)
+		is.Equal(chosen["s0"], 0)
+	})
+}
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -177,18 +177,25 @@
 // server.
 func releaseSlot(b *table.Backends, a table.Assignment, r table.Result, now time.Time) {
 	if s, ok := b.Services[a.Ticket.Service][a.Server.Address]; ok {
-		updateLimit(s, r.Evidence, now)
+		updateLimit(b, s, a, r.Evidence, now)
+		observeSpeed(b, s, a, r, now)
 		s.Outstanding--
 		delete(s.InFlight, a.Ticket.ID)
 	}
 }
 
-func updateLimit(s *table.Backend, e fleet.Evidence, now time.Time) {
+func updateLimit(b *table.Backends, s *table.Backend, a table.Assignment, e fleet.Evidence, now time.Time) {
+	places := placesOf(b, a.Ticket.Service)
 	switch e {
 	case fleet.Succeeded:
+		places.Acceptance.Observe(a.Outstanding, s.Limit, false)
 		s.Limit.RaiseAfterSuccess(s.Outstanding, now)
 	case fleet.Shed:
-		s.Limit.LowerAfterShed(now)
+		places.Acceptance.Observe(a.Outstanding, s.Limit, true)
+		if !places.Acceptance.Random() {
+			places.Borrowing.ObserveShed(now)
+			s.Limit.LowerAfterShed(now)
+		}
 	}
 }
 
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/notice"
+	"egretline.example/egretline/internal/decide/speed"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
@@ -14,6 +15,10 @@
 	Services map[string]map[string]*Backend
 	// Health holds the outlier detection state of each service, beyond the state of its servers.
 	Health map[string]*ServiceHealth
+	// Places holds how each service fills its servers.
+	Places map[string]*ServicePlaces
+	// Typical holds the typical latency of the requests of each service and route.
+	Typical map[ServiceRoute]*speed.Typical
 	// Notices holds what runs of backend servers asked of this node. It outlives their registration.
 	Notices notice.Table
 	// Peers holds the last report of each group member, by host ID.
@@ -49,6 +54,8 @@
 	// InFlight is keyed by ticket ID.
 	InFlight map[string]InFlight
 	State    detect.State
+	// Speed is how fast the server is, compared with the others of its service.
+	Speed speed.Server
 	// KeptByFloor reports whether the server is suspected but stays in use because of the floor.
 	KeptByFloor bool
 
@@ -61,6 +68,18 @@
 	PausedUntil time.Time
 }
 
+// ServicePlaces is what a node knows about the places of the servers of one service.
+type ServicePlaces struct {
+	Acceptance admission.Acceptance
+	Borrowing  admission.Borrowing
+}
+
+// ServiceRoute names the requests of a route that go to a service.
+type ServiceRoute struct {
+	Service string
+	Route   string
+}
+
 // LeavingReason is the kind of indication that a backend server is leaving.
 type LeavingReason string
 
@@ -110,6 +129,8 @@
 	return Backends{
 		Services: map[string]map[string]*Backend{},
 		Health:   map[string]*ServiceHealth{},
+		Places:   map[string]*ServicePlaces{},
+		Typical:  map[ServiceRoute]*speed.Typical{},
 		Peers:    map[string]PeerReport{},
 	}
 }
