--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -27,6 +27,7 @@
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
 		}
 		writeDispatchCounts(&b, dispatch)
+		writePlacing(&b, dispatch)
 		now := time.Now()
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
@@ -44,7 +45,7 @@
 			name  string
 			value int64
 		}{
-			{"admitted", c.Admitted}, {"attempts", c.Attempts}, {"retries", c.Retries}, {"late", c.Late},
+			{"admitted", c.Admitted}, {"attempts", c.Attempts}, {"retries", c.Retries}, {"late", c.Late}, {"waited-for-budget", c.Waited},
 			{"abandoned", c.Abandoned}, {"displaced", c.Displaced},
 		} {
 			fmt.Fprintf(b, "dispatch-%s%s} %d\n", counter.name, labels, counter.value)
--- a/pkg/dispatchcmd/patience_test.go
+++ b/pkg/dispatchcmd/patience_test.go
@@ -113,11 +113,7 @@
 			}
 		}
 		assertBudgetKept(t, p.again, budget)
-		f.Tables.Budgets.Read(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
-			if p, known := b.Patience[service]; known {
-				is.Equal(len(p.Items), 0)
-			}
-		})
+		is.Equal(f.waiting(), 0)
 	})
 	return o
 }
@@ -153,3 +149,47 @@
 		})
 	}
 }
+
+// Guards against waiting requests that outlive their caller or keep a node from stopping.
+func TestWaitEnds(t *testing.T) {
+	for name, end := range map[string]func(f *fixture, cancel func()){
+		"when the node stops":    func(f *fixture, _ func()) { f.StopAt(time.Now().Add(time.Second), time.Now()) },
+		"when the callers leave": func(_ *fixture, cancel func()) { cancel() },
+		"after two objectives": func(f *fixture, _ func()) {
+			time.Sleep(3*time.Second + 1)
+			f.Sweep(time.Now())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInBubble(t, 100, 60, func(is *is.I, f *fixture) {
+				f.SetRetryBudgetParams(retry.BudgetParams{Deposit: 0.2, MaxBalance: 60, UnsentIsFree: true, Patient: true})
+				p := &turningAway{
+					share: 1, until: time.Now().Add(time.Hour), random: rand.New(rand.NewPCG(1, 2)), lock: make(chan struct{}, 1),
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				var tickets []*table.Ticket
+				for range 40 {
+					one := f.ticket("a", 6*time.Second, nil)
+					one.Runner, one.Context, one.TargetLatency = &turnedAwayRunner{pool: p}, ctx, 1500*time.Millisecond
+					tickets = append(tickets, one)
+				}
+				wait := f.start(tickets...)
+				is.True(f.waiting() > 0)
+				end(f, cancel)
+				is.Equal(outcomes(wait()), map[fleet.Outcome]int{fleet.NotRun: 40})
+				is.Equal(f.waiting(), 0)
+			})
+		})
+	}
+}
+
+// waiting returns the number of requests that wait for the retry budget.
+func (f *fixture) waiting() (count int) {
+	f.Tables.Budgets.Read(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
+		if p, known := b.Patience[service]; known {
+			count = len(p.Items)
+		}
+	})
+	return count
+}
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -110,6 +110,7 @@
 		case retry.Allowed:
 			countsOf(q, t).Retries++
 		case retry.Waits:
+			countsOf(q, t).Waited++
 		default:
 			countsOf(q, t).NotRetried[reason]++
 		}
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -45,6 +45,8 @@
 	Abandoned int64
 	Attempts  int64
 	Retries   int64
+	// Waited counts the attempts after which the request waited for the retry budget.
+	Waited int64
 	// NotRetried counts the failed attempts that were not retried, by reason.
 	NotRetried map[retry.Reason]int64
 	Answered   int64
