Visit every server at one of the nodes, and bound a node's share exactly

Cause: with warm connections preferred, servers that none of the nodes used got nothing for seconds. Besides, the even share of all servers was below the sum of the shares of each server, which are rounded up.

Change: a server is due at one of the nodes that share it when it had no result there for 1.5 s times its slowness, and gets the next idempotent first attempt, or at a high loss rate any request. This replaces introductions. An unknown server counts as three requests of an average one. EvenShare is exact only where more nodes share a server than it has slots.

--- a/internal/decide/speed/speed.go
+++ b/internal/decide/speed/speed.go
@@ -23,7 +23,7 @@
 	memory = 6 * time.Second
 	// averageWeight is the number of requests that the assumption of an average server counts for. The estimate from few
 	// requests is uncertain.
-	averageWeight = 4.0
+	averageWeight = 3.0
 )
 
 // Typical is the typical latency of the requests of a route at servers with little load. The zero value is unknown.
--- a/pkg/decide/admission/choose.go
+++ b/pkg/decide/admission/choose.go
@@ -23,9 +23,9 @@
 	// Warmth is how well an idle connection to the server suits the request; zero means that there is none. Of equally good
 	// servers the warmest is preferred, so that a node uses no more servers than its load needs.
 	Warmth int
-	// Introduced reports whether the server should get this request because nothing is known about it. Of equally good
-	// servers it is preferred to all others.
-	Introduced bool
+	// Due reports whether the server should get this request because it was not used for some time. It is preferred to all
+	// equally good servers.
+	Due bool
 	// Probation reports whether the server's circuit breaker is half-open. Its odds are those of a server chosen at random
 	// from the equally good ones, so that it is tried although others have warm connections.
 	Probation bool
@@ -44,7 +44,7 @@
 // trial request goes first; callers omit such servers for requests that cannot be used as a trial. Otherwise Choose
 // returns a free server that was not tried, with the shortest expected latency: the outstanding requests, counting the new
 // one, times the slowness of the server. Of servers that are about as good and have no more outstanding requests, one that
-// is to be introduced or has a warm connection is preferred. The server of the last attempt is returned only if it is the
+// is due or has a warm connection is preferred. The server of the last attempt is returned only if it is the
 // only candidate. Ties are broken by a hash of request and address; otherwise the nodes of a group would all prefer the same
 // servers.
 func Choose(servers []Server, request string, tried []string) int {
@@ -108,7 +108,7 @@
 }
 
 func isPreferred(a, b Server, request string) bool {
-	if c := cmp.Or(compareFlags(b.Introduced, a.Introduced), cmp.Compare(b.Warmth, a.Warmth)); c != 0 {
+	if c := cmp.Or(compareFlags(b.Due, a.Due), cmp.Compare(b.Warmth, a.Warmth)); c != 0 {
 		return c < 0
 	}
 	return hasLowerHash(a, b, request)
--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -40,6 +40,20 @@
 	randomShedFraction = 0.2
 )
 
+// EvenShare returns what one server adds to the number of requests that a node may have outstanding at all servers of a
+// service. It is MaxOutstandingPerNode where that is at least one request. Where more nodes share a server than it has slots,
+// it is a fraction of a request: each of the nodes may send one to the server, but not to all servers at the same time.
+func EvenShare(slots, sharers int, reachable float64) float64 {
+	if sharers <= 0 || reachable <= 0 {
+		return float64(slots)
+	}
+	share := overcommitFactor * float64(slots) / (float64(sharers) * reachable)
+	if share >= 1 {
+		return float64(MaxOutstandingPerNode(slots, sharers, reachable))
+	}
+	return share
+}
+
 // Acceptance tells servers that are full from servers that turn requests away at random, whatever their load: a full server
 // turns requests away when much is outstanding there and takes them when little is. If servers turn away what reaches them
 // at little load as well, a lower limit would leave places unused and get no request more served. The zero value has seen
--- a/pkg/dispatchcmd/placing.go
+++ b/pkg/dispatchcmd/placing.go
@@ -1,6 +1,8 @@
 package dispatchcmd
 
 import (
+	"hash/fnv"
+	"math"
 	"time"
 
 	"egretline.example/egretline/internal/decide/speed"
@@ -10,12 +12,11 @@
 )
 
 const (
-	// introductionAge is the time after which a server that got no request of this node is introduced. A server that has
-	// just started is slow for some seconds.
-	introductionAge = time.Second
-	// unusedDuration is the time without a result after which a server goes first while the service loses many requests. The
-	// floor of a service is evaluated over two seconds.
-	unusedDuration = time.Second
+	// coldAge is the age from which a server gets its first request. A server that has just started is slow for some seconds.
+	coldAge = time.Second
+	// dueAfter is the time without a result after which a server is due. The floor of a service, of which a service that
+	// loses requests has to keep a share in use, is evaluated over two seconds.
+	dueAfter = 1500 * time.Millisecond
 	// turnedAwayMemory is the time after a server turned a request away in which its warm connection is no advantage. It
 	// answers at once, and would otherwise get the next request as well.
 	turnedAwayMemory = time.Second
@@ -59,13 +60,14 @@
 	return p.Borrowing
 }
 
-// describe completes the candidates with the speed of the servers, their connections and whether they are to be introduced.
-// While the service loses many requests, servers that were not used for a second go first, so that all stay in use.
+// describe completes the candidates with the speed of the servers, their connections and whether they are due. Each server is
+// due at one of the nodes that share it, for an idempotent request, so that every server is in use and its failures are
+// found; at a high loss rate any request will do.
 func (p placing) describe(candidates []admission.Server, pool servicePool, t *table.Ticket, now time.Time) {
 	if p.Conns == nil {
 		return
 	}
-	introduce := pool.HighLossRate || t.Idempotent && t.Attempt == 0 && !pool.HalfUtilized
+	mayVisit := pool.HighLossRate || t.Idempotent && t.Attempt == 0
 	for n := range candidates {
 		c := &candidates[n]
 		s := pool.Servers[c.Address]
@@ -73,22 +75,23 @@
 		if pool.TurnsAwayAtRandom || now.Sub(s.Limit.LastShed) >= turnedAwayMemory {
 			c.Warmth = p.warmth(c.Address, t.Idempotent, now)
 		}
-		c.Introduced = !c.Probation && !c.BreakerOpen && isUnused(s, pool.HighLossRate, now)
-		if c.Introduced && s.Outstanding > 0 && !pool.HighLossRate {
-			introduce = false // one at a time
-		}
-	}
-	for n := range candidates {
-		candidates[n].Introduced = candidates[n].Introduced && introduce
+		c.Due = mayVisit && !c.Probation && !c.BreakerOpen && isDue(s, c.Slowness, pool.Sharing, now)
 	}
 }
 
-// isUnused reports whether the server should get a request because this node has not used it.
-func isUnused(s *table.Backend, highLossRate bool, now time.Time) bool {
-	if highLossRate {
-		return now.Sub(s.State.LastRequestResult) >= unusedDuration
-	}
-	return s.State.LastRequestResult.IsZero() && now.Sub(s.FirstSeen) >= introductionAge
+// isDue reports whether this node should send the server a request because it was not used for some time. A slow server is
+// due less often.
+func isDue(s *table.Backend, slowness float64, sharing Sharing, now time.Time) bool {
+	wait := time.Duration(max(slowness, 1) * float64(dueAfter))
+	return s.Outstanding == 0 && now.Sub(s.State.LastRequestResult) >= wait && now.Sub(s.FirstSeen) >= coldAge &&
+		ownerOf(s.Server.Address, sharing.Nodes) == sharing.NodeIndex
+}
+
+// ownerOf returns the index of the node that visits the server at the address.
+func ownerOf(address string, nodes int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(address))
+	return int(h.Sum32() % uint32(max(nodes, 1)))
 }
 
 // warmth returns how well the idle connections to the address suit the request. An idempotent request leaves the connections
@@ -103,16 +106,14 @@
 	return 2
 }
 
-// evenSlots returns the number of requests that the node may have outstanding at all servers together. Where more nodes share
-// a server than it has slots, each of them may send one request to it, and the even share of all slots is what binds.
+// evenSlots returns the number of requests that the node may have outstanding at all servers together.
 func evenSlots(servers map[string]*table.Backend, nodes int, b admission.Borrowing, now time.Time) int {
-	total := 0
+	total, even, reachable := 0, 0.0, reachableFraction(servers, now)
 	for _, s := range servers {
-		if !s.Leaving {
-			total += s.Server.Slots
-		}
+		total += s.Server.Slots
+		even += admission.EvenShare(s.Server.Slots, nodes, reachable)
 	}
-	return b.Ceiling(max(1, admission.MaxOutstandingPerNode(total, nodes, reachableFraction(servers, now))), total, 1, now)
+	return b.Ceiling(max(1, int(math.Ceil(even))), total, 1, now)
 }
 
 // observeSpeed records the latency of an attempt that a server completed.
--- a/pkg/dispatchcmd/placing_test.go
+++ b/pkg/dispatchcmd/placing_test.go
@@ -49,6 +49,12 @@
 	c.idle[address] = time.Now()
 }
 
+func (c *fakeConns) forgetSent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.sent)
+}
+
 // placedRunner is a request over such connections. The servers whose number ends in 3 are five times as slow as the others.
 type placedRunner struct {
 	fakeRunner
@@ -148,3 +154,42 @@
 		is.Equal(chosen["s0"], 0)
 	})
 }
+
+// usedWithin plays 20 idempotent requests a second at one of three nodes for six seconds, and adds the servers that it used
+// in the last two to the set.
+func usedWithin(t *testing.T, node int, used map[string]bool) {
+	t.Helper()
+	const rate, seconds = 20, 6
+	runInBubble(t, 100, 40, func(_ *is.I, f *fixture) {
+		conns := &fakeConns{idle: map[string]time.Time{}, sent: map[string]int{}}
+		f.Conns = conns
+		f.SetSharing(Sharing{NodeIndex: node, Nodes: 3})
+		done := make(chan table.Result)
+		for k := range rate * seconds {
+			if k == rate*(seconds-2) {
+				conns.forgetSent()
+			}
+			one := f.ticket("a", 5*time.Second, nil)
+			one.Runner = &placedRunner{conns: conns, idempotent: true}
+			go func() { done <- f.roundTrip(one) }()
+			time.Sleep(time.Second / rate)
+		}
+		for range rate * seconds {
+			<-done
+		}
+		for address := range conns.sent {
+			used[address] = true
+		}
+	})
+}
+
+// The load: calm traffic that ten servers could serve. Guards against servers that no node uses for two seconds because others
+// have warm connections: if requests are lost then, too few servers were in use, and failures are not found.
+func TestVisits(t *testing.T) {
+	used := map[string]bool{}
+	for node := range 3 {
+		usedWithin(t, node, used)
+	}
+	t.Logf("%d of 40 servers used in two seconds", len(used))
+	is.New(t).True(len(used) >= 28) // the floor of 0.7
+}
