--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -98,7 +98,7 @@
 	firstBorrowPause = 2 * time.Second
 	maxBorrowPause   = 32 * time.Second
 	// maxBorrowSlowness is the slowness of a server above which no more than the even share is sent to it.
-	maxBorrowSlowness = 1.5
+	maxBorrowSlowness = 1.2
 )
 
 // Borrowing decides whether a node may use more than its even share of the servers of a service. It answers demand that
