--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -29,6 +29,7 @@
 			fmt.Fprintf(&b, "latency-ms%s,quantile=\"0.99\"} %d\n", labels, c.P99.Milliseconds())
 		}
 		writeZones(&b, &zonequery.Queries{Tables: n.Tables})
+		writePlacing(&b, dispatch)
 		now := time.Now()
 		writeDispatchCounts(&b, dispatch)
 		writeQueueDepths(&b, dispatch, now)
@@ -49,7 +50,7 @@
 			name  string
 			value int64
 		}{
-			{"admitted", c.Admitted}, {"attempts", c.Attempts}, {"retries", c.Retries}, {"late", c.Late},
+			{"admitted", c.Admitted}, {"attempts", c.Attempts}, {"retries", c.Retries}, {"late", c.Late}, {"waited-for-budget", c.Waited},
 			{"abandoned", c.Abandoned}, {"displaced", c.Displaced},
 		} {
 			fmt.Fprintf(b, "dispatch-%s%s} %d\n", counter.name, labels, counter.value)
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -36,6 +36,8 @@
 	AvailabilityZone string
 	// MarginDeviations is the value of admission.Queue.MarginDeviations for all queues.
 	MarginDeviations float64
+	// Conns holds the node's connections. If it is nil, requests are placed by outstanding requests alone.
+	Conns WarmConns
 
 	exchange *pool.Pool[table.Assignment]
 	// sharing is the last value given to SetSharing.
@@ -77,6 +79,8 @@
 	Nodes     int
 	// NodesInZone is the number of sharing nodes in the availability zone of this node, including itself.
 	NodesInZone int
+	// IndexInZone is the index of this node among those of its zone.
+	IndexInZone int
 }
 
 // SetSharing sets the nodes that share the backend servers evenly with this one.
@@ -95,8 +99,9 @@
 func (d *Dispatcher) StopAt(stop, now time.Time) {
 	d.DisableBackups()
 	var refused []admission.Item[*table.Ticket]
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+	d.Tables.Queues.Write(guard.Held{}, func(h guard.Held, q *table.Queues) {
 		q.StopTime = stop
+		refused = d.stopWaiting(h)
 		for _, queue := range q.Services {
 			refused = append(refused, admission.StopAt(queue, stop, now)...)
 		}
@@ -139,6 +144,7 @@
 	if !d.hasBackends(t.Service) {
 		return ServiceError{Service: t.Service}
 	}
+	d.depositArrival(t, now)
 	var displaced []*table.Ticket
 	var err error
 	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
@@ -152,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	d.releaseWaiting(now, t.Service)
 	d.assignWaiting(now, t.Service)
 	return nil
 }
@@ -194,9 +201,9 @@
 // arrives on the Done channel.
 func (d *Dispatcher) Cancel(t *table.Ticket) bool {
 	var removed bool
-	d.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) {
+	d.Tables.Queues.Write(guard.Held{}, func(h guard.Held, q *table.Queues) {
 		queue, ok := q.Services[t.Service]
-		removed = ok && admission.Remove(queue, t.Rank, t.ID)
+		removed = ok && admission.Remove(queue, t.Rank, t.ID) || d.removeWaiting(h, t)
 		if removed {
 			countsOf(q, t).Abandoned++
 			d.recordOutcome(q, t, unsentOutcome(t))
--- a/pkg/table/queues.go
+++ b/pkg/table/queues.go
@@ -47,6 +47,8 @@
 	Abandoned int64
 	Attempts  int64
 	Retries   int64
+	// Waited counts the attempts after which the request waited for the retry budget.
+	Waited int64
 	// NotRetried counts the failed attempts that were not retried, by reason.
 	NotRetried map[retry.Reason]int64
 	Answered   int64
@@ -59,6 +61,16 @@
 	// Params are the parameters of a new budget.
 	Params   retry.BudgetParams
 	Services map[string]*retry.Budget
+	// Patience holds the requests of each service that wait for the budget.
+	Patience map[string]*retry.Patience[*Ticket]
+}
+
+func newBudgets() Budgets {
+	return Budgets{
+		Params:   retry.DefaultBudgetParams(),
+		Services: map[string]*retry.Budget{},
+		Patience: map[string]*retry.Patience[*Ticket]{},
+	}
 }
 
 func newQueues() Queues {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -56,7 +56,7 @@
 		Zones:    guard.New(RankZones, newZones()),
 		Keys:     guard.New(RankKeys, newKeys()),
 		Traffic:  guard.New(RankTraffic, newTraffic()),
-		Budgets:  guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
+		Budgets:  guard.New(RankBudgets, newBudgets()),
 		Quotas:   guard.New(RankQuotas, newQuotas()),
 	}
 }
@@ -117,6 +117,8 @@
 	Attempt    int
 	// Trial reports whether the last attempt was sent to a server with a half-open circuit breaker.
 	Trial bool
+	// WaitEnded is when the request last ended a wait for the retry budget; zero if it never waited for it.
+	WaitEnded time.Time
 	// TriedAddresses lists the server addresses of earlier attempts.
 	TriedAddresses []string
 	// PossibleRuns is the number of earlier attempts that may have run the request.
