Bound the bytes that a node holds for callers and backend servers

Responses were written to the caller by the worker that read them, so a caller that reads slowly held a slot of a backend server, and a response of more than 256 KiB lay unread at the server. Nothing bounded the sum of what a node holds. The worker now reads ahead within a byte budget that the ranks share, and the goroutine of the caller's connection writes. Large new work is refused while the budget is short, and request bodies outstanding at a server are bounded over the nodes that share it. TestFlood's exchange gets the budget of the smallest hosts; its limits are unchanged.

--- a/internal/backend/http1/assert_test.go
+++ b/internal/backend/http1/assert_test.go
@@ -14,8 +14,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/internal/http/dialect"
+	"egretline.example/egretline/internal/transfer/transfercmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
 )
@@ -94,11 +96,19 @@
 	in := httptest.NewRequest(http.MethodGet, "/a/b?c=d", nil)
 	w := httptest.NewRecorder()
 	return &Exchange{
-		Pool: p, Gate: openGate{}, Headers: testHeaders, Request: in, Writer: w, RequestID: id, Idempotent: idempotent,
-		ResponseDeadline: time.Now().Add(10 * time.Second),
+		Pool: p, Gate: openGate{}, Headers: testHeaders, Request: in, Delivery: NewDelivery(w, newAccount(hostBytes)), RequestID: id,
+		Idempotent: idempotent, ResponseDeadline: time.Now().Add(10 * time.Second),
 	}, w
 }
 
+// hostBytes is the byte budget of the smallest hosts, which have 184 MB of memory.
+const hostBytes = 46 << 20
+
+// newAccount returns the account of a request under a byte budget.
+func newAccount(limitBytes int64) *transfercmd.Account {
+	return transfercmd.New(table.New(fleet.Host{}, ""), limitBytes, zerolog.Nop()).Open(0, 1)
+}
+
 // sendAndDeliver uses an exchange as the dispatcher does: the context of the attempt ends before the delivery.
 func sendAndDeliver(e *Exchange, s fleet.BackendServer) table.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -108,7 +118,20 @@
 		e.Discard()
 		return r
 	}
-	return e.Deliver(context.Background())
+	return deliver(e)
+}
+
+// deliver passes the response to the caller, as the worker and the front end do.
+func deliver(e *Exchange) table.Result {
+	result := make(chan table.Result, 1)
+	go func() { result <- e.Deliver(context.Background()) }()
+	<-e.Delivery.Started
+	err := e.Delivery.Run()
+	r := <-result
+	if err != nil && r.Err == nil {
+		r.Err = err
+	}
+	return r
 }
 
 func assertAnswered(t *testing.T, r table.Result, w *httptest.ResponseRecorder, body string) {
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/internal/http/dialect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -20,6 +20,8 @@
 	// maxBufferedResponseBytes is how much of a response body is read before any of it is sent to the caller. If the body
 	// is interrupted before that, the request can be retried on another server.
 	maxBufferedResponseBytes = 256 << 10
+	// minBufferedResponseBytes is the least that is worth buffering if the byte budget does not allow more.
+	minBufferedResponseBytes = 4 << 10
 	// copyBufferBytes is the buffer size for copying the rest of a longer body.
 	copyBufferBytes = 32 << 10
 	// maxIdleForNonIdempotent is how long a connection may have been idle before it carries a request that must not run
@@ -45,8 +47,9 @@
 	Request       *http.Request
 	BufferedBody  []byte
 	RemainingBody io.Reader
-	Writer        http.ResponseWriter
-	RequestID     string
+	// Delivery takes the response, also that of a duplicate.
+	Delivery  *Delivery
+	RequestID string
 	// Customer is the name that is sent to the backend server; empty if the caller's key is not known or not needed.
 	Customer string
 	// DropCredentials reports whether the caller's key is left out, because it is meant for the node alone.
@@ -61,7 +64,7 @@
 	conn     *Conn
 	response *http.Response
 	// buffered is the start of the response body; fullyBuffered reports whether it is the whole body.
-	buffered      []byte
+	buffered      []*piece
 	fullyBuffered bool
 	// upload is the sending of a request body in a goroutine; nil if the body was sent synchronously.
 	upload *upload
@@ -96,7 +99,7 @@
 		return nil
 	}
 	return &Exchange{
-		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Writer: e.Writer,
+		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Delivery: e.Delivery,
 		RequestID: e.RequestID, Customer: e.Customer, DropCredentials: e.DropCredentials, Idempotent: e.Idempotent,
 		ResponseDeadline: e.ResponseDeadline,
 	}
@@ -135,6 +138,7 @@
 	stageRequest         = "request"
 	stageResponseHeaders = "response headers"
 	stageResponseBody    = "response body"
+	stageDelivery        = "delivery"
 )
 
 func (e *Exchange) sendOnce(ctx context.Context, s fleet.BackendServer, started time.Time) table.Result {
@@ -309,82 +313,118 @@
 	}
 }
 
-// bufferBody reads up to maxBufferedResponseBytes of the response body.
+// bufferBody reads up to maxBufferedResponseBytes of the response body, or as much as the byte budget allows.
 func (e *Exchange) bufferBody() error {
-	size := min(max(e.response.ContentLength, 0), maxBufferedResponseBytes)
-	b := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := b.ReadFrom(io.LimitReader(e.response.Body, maxBufferedResponseBytes))
-	if err != nil {
+	length := e.response.ContentLength
+	if e.response.Body == http.NoBody || length == 0 {
+		e.fullyBuffered = true
+		return nil
+	}
+	if length > 0 {
+		return e.bufferKnownLength(length)
+	}
+	for size := 0; size < maxBufferedResponseBytes && e.Delivery.Account.TryTake(bytebudget.Responses, copyBufferBytes); {
+		p := newPiece()
+		p.heldBytes = copyBufferBytes
+		e.buffered = append(e.buffered, p)
+		n, err := readFull(e.response.Body, p.buffer[:])
+		p.data = p.buffer[:n]
+		size += n
+		switch {
+		case errors.Is(err, io.EOF):
+			e.fullyBuffered = true
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
+// readFull fills b. Unlike io.ReadFull, it returns the reader's own error, because only io.EOF means that a body is complete.
+func readFull(r io.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var read int
+		read, err = r.Read(b[n:])
+		n += read
+	}
+	return n, err
+}
+
+// bufferKnownLength reads a body of the given length, or its start.
+func (e *Exchange) bufferKnownLength(length int64) error {
+	size := min(length, maxBufferedResponseBytes)
+	for !e.Delivery.Account.TryTake(bytebudget.Responses, size) {
+		if size /= 2; size < minBufferedResponseBytes {
+			return nil
+		}
+	}
+	p := &piece{data: make([]byte, size), heldBytes: size}
+	e.buffered = []*piece{p}
+	if _, err := io.ReadFull(e.response.Body, p.data); err != nil {
 		return err
 	}
-	e.buffered = b.Bytes()
-	e.fullyBuffered = n < maxBufferedResponseBytes || n == e.response.ContentLength
+	e.fullyBuffered = size == length
 	return nil
 }
 
-// Deliver sends the response to the caller. If the response is interrupted, the result has Aborted set, and the caller's
-// connection must be closed without completing the response.
+// Deliver passes the response to the Delivery. It returns when it has read the whole response, which the caller may still be
+// reading then. If the response is interrupted, the result has Aborted set, and the caller's connection must be closed
+// without completing the response.
 func (e *Exchange) Deliver(ctx context.Context) table.Result {
 	r := table.Result{Outcome: fleet.Answered, Evidence: fleet.Succeeded, Sent: true, Response: true, Status: e.response.StatusCode}
 	if r.Status >= http.StatusInternalServerError {
 		r.Evidence = fleet.Failed
 	}
 	e.stopAbort = context.AfterFunc(ctx, e.conn.Abort)
-	e.copyHeader()
-	e.Writer.WriteHeader(r.Status)
-	if err := e.deliverBody(ctx, &r); err != nil {
+	h := e.responseHeader()
+	e.Delivery.start(r.Status, h, e.buffered)
+	if err := e.readRest(ctx, &r); err != nil {
+		e.Delivery.end(err, false)
 		r.Outcome, r.Aborted, r.Err = fleet.Unknown, true, err
 		e.abortConn()
 		return r
 	}
-	e.awaitUpload(ctx)
+	uploading := e.awaitsUpload(h)
+	e.Delivery.end(nil, uploading)
+	if uploading {
+		select {
+		case <-e.upload.done:
+		case <-ctx.Done():
+		}
+	}
 	e.releaseConn()
 	return r
 }
 
-// awaitUpload lets the rest of the request body follow a response that arrived before it was sent, because the server may
-// read on. It does not wait if the caller needs the end of the exchange to find the end of the response.
-func (e *Exchange) awaitUpload(ctx context.Context) {
-	hasLength := e.Writer.Header().Get("Content-Length") != ""
-	if e.upload == nil || e.upload.complete() || e.response.Close || !hasLength {
-		return
-	}
-	if err := http.NewResponseController(e.Writer).Flush(); err != nil {
-		return
-	}
-	select {
-	case <-e.upload.done:
-	case <-ctx.Done():
-	}
+// awaitsUpload reports whether the rest of the request body follows the response, because the server may read on. It does not
+// if the caller needs the end of the exchange to find the end of the response.
+func (e *Exchange) awaitsUpload(h http.Header) bool {
+	return e.upload != nil && !e.upload.complete() && !e.response.Close && h.Get("Content-Length") != ""
 }
 
-func (e *Exchange) copyHeader() {
+func (e *Exchange) responseHeader() http.Header {
 	h := e.response.Header.Clone()
 	header.RemoveHopByHop(h)
 	if e.fullyBuffered && h.Get("Content-Length") == "" && e.Request.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(e.buffered)))
-	}
-	out := e.Writer.Header()
-	for name, values := range h {
-		out[name] = values
+		length := 0
+		for _, p := range e.buffered {
+			length += len(p.data)
+		}
+		h.Set("Content-Length", strconv.Itoa(length))
 	}
+	return h
 }
 
-func (e *Exchange) deliverBody(ctx context.Context, r *table.Result) error {
-	if _, err := e.Writer.Write(e.buffered); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		r.Evidence = fleet.Canceled
-		return ExchangeError{Address: e.conn.Address, Stage: "delivery", Err: err}
-	}
-	if e.fullyBuffered {
-		return nil
-	}
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, readErr := e.response.Body.Read(buffer)
-		if n > 0 {
-			if _, err := e.Writer.Write(buffer[:n]); err != nil {
+// readRest reads the rest of a body that is not fully buffered.
+func (e *Exchange) readRest(ctx context.Context, r *table.Result) error {
+	for !e.fullyBuffered {
+		p := newPiece()
+		n, readErr := e.response.Body.Read(p.buffer[:])
+		if p.data = p.buffer[:n]; n > 0 {
+			if err := e.Delivery.add(ctx, p, e.conn.limitReceiveBuffer); err != nil {
 				r.Evidence = fleet.Canceled
-				return ExchangeError{Address: e.conn.Address, Stage: "delivery", Err: err}
+				return ExchangeError{Address: e.conn.Address, Stage: stageDelivery, Err: err}
 			}
 		}
 		switch {
@@ -398,6 +438,15 @@
 			return ExchangeError{Address: e.conn.Address, Stage: stageResponseBody, Err: readErr}
 		}
 	}
+	return nil
+}
+
+// dropBuffered gives back the bytes of a response that is not delivered.
+func (e *Exchange) dropBuffered() {
+	for _, p := range e.buffered {
+		e.Delivery.Account.Release(bytebudget.Responses, p.heldBytes)
+	}
+	e.buffered = nil
 }
 
 // releaseConn returns the connection to the pool if the request and the response are complete, and closes it otherwise.
@@ -413,6 +462,7 @@
 
 // Discard drops the response. The connection returns to the pool if the response is short and complete.
 func (e *Exchange) Discard() {
+	e.dropBuffered()
 	if e.conn == nil {
 		return
 	}
--- a/internal/backend/http1/flood_test.go
+++ b/internal/backend/http1/flood_test.go
@@ -81,10 +81,10 @@
 	t.Run("a body is passed on without being kept", func(t *testing.T) {
 		b := newTestBackend(t, floodWith(floodBody+"\r\n", "x"))
 		e, _ := newExchange(NewPool(), "r1", true)
-		e.Writer = discardWriter{}
+		e.Delivery.Writer = discardWriter{}
 		assertAllocated(t, 8<<20, func() {
 			is.New(t).True(e.Send(context.Background(), b.Server).Response)
-			is.New(t).NoErr(e.Deliver(context.Background()).Err)
+			is.New(t).NoErr(deliver(e).Err)
 		})
 	})
 	t.Run("the body of a refusal does not hold the request", func(t *testing.T) {
--- a/internal/backend/http1/refusal_test.go
+++ b/internal/backend/http1/refusal_test.go
@@ -56,7 +56,7 @@
 func sendAndRelease(e *Exchange, s fleet.BackendServer) table.Result {
 	r := e.Send(context.Background(), s)
 	if r.Response {
-		return e.Deliver(context.Background())
+		return deliver(e)
 	}
 	e.Discard()
 	return r
--- a/internal/backend/http1/request_test.go
+++ b/internal/backend/http1/request_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -79,10 +78,10 @@
 		body, _ := io.ReadAll(r.Body)
 		e := &Exchange{
 			Pool: pool, Gate: openGate{}, Headers: dialect.Headers{RequestID: "Request-Id", Deadline: "Deadline", Signature: "Signature"},
-			Request: r, BufferedBody: body, Writer: w, RequestID: r.Header.Get("Request-Id"), ResponseDeadline: time.Now().Add(time.Minute),
+			Request: r, BufferedBody: body, Delivery: NewDelivery(w, newAccount(hostBytes)), RequestID: r.Header.Get("Request-Id"), ResponseDeadline: time.Now().Add(time.Minute),
 		}
 		if result := e.Send(r.Context(), fleet.BackendServer{Address: address}); result.Response {
-			e.Deliver(context.Background())
+			deliver(e)
 			return
 		}
 		e.Discard()
--- a/internal/front/hostfront/assert_test.go
+++ b/internal/front/hostfront/assert_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/internal/http/dialect"
+	"egretline.example/egretline/internal/transfer/transfercmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/pkg/trafficcmd"
@@ -64,6 +65,14 @@
 
 func (*fakeDispatcher) Cancel(*table.Ticket) bool { return false }
 
+// hostBytes is the byte budget of the smallest hosts, which have 184 MB of memory.
+const hostBytes = 46 << 20
+
+// newTransfers returns the accounts of a node that may hold the given number of bytes.
+func newTransfers(limitBytes int64) *transfercmd.Commands {
+	return transfercmd.New(table.New(fleet.Host{}, ""), limitBytes, zerolog.Nop())
+}
+
 type discardTraffic struct{}
 
 func (discardTraffic) Record(trafficcmd.Observation) {}
@@ -98,7 +107,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{Config: &fakeConfigSource{}, startupDone: make(chan struct{})}
 		f.Handler = &Handler{
-			Config: f.Config, Dispatcher: d, Headers: testHeaders, Traffic: discardTraffic{},
+			Config: f.Config, Dispatcher: d, Transfers: newTransfers(hostBytes), Headers: testHeaders, Traffic: discardTraffic{},
 			MaxBodyBytes: 1 << 20, RegistryAge: func() time.Duration { return 0 }, StartupDone: f.startupDone,
 			Leaving: func() bool { return false }, Log: zerolog.Nop(),
 		}
--- a/internal/front/hostfront/errors.go
+++ b/internal/front/hostfront/errors.go
@@ -1,8 +1,10 @@
 package hostfront
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -59,6 +61,28 @@
 // HTTPStatus returns 429.
 func (QuotaError) HTTPStatus() int { return http.StatusTooManyRequests }
 
+// MemoryError reports a request that was refused because the node may not hold more bytes. It was not queued.
+type MemoryError struct {
+	Bytes int64
+	Rank  string
+	// RetryAfter is the delay after which the bytes are likely to be free.
+	RetryAfter time.Duration
+}
+
+func (e MemoryError) Error() string {
+	return fmt.Sprintf("the node may not hold another %d bytes for rank %q; retry after %s", e.Bytes, e.Rank, e.RetryAfter)
+}
+
+// HTTPStatus returns 503.
+func (MemoryError) HTTPStatus() int { return http.StatusServiceUnavailable }
+
+// DeliveryError reports a response that could not be written to its caller after it was read from the backend server.
+type DeliveryError struct{ Err error }
+
+func (e DeliveryError) Error() string { return fmt.Sprintf("write response to caller: %v", e.Err) }
+
+func (e DeliveryError) Unwrap() error { return e.Err }
+
 // HeaderError reports a request header that is missing or malformed.
 type HeaderError struct {
 	Name  string
@@ -82,10 +106,14 @@
 
 func (e BodyError) Unwrap() error { return e.Err }
 
-// HTTPStatus returns 413 for a body that is too large, and 400 otherwise.
+// HTTPStatus returns 413 for a body that is too large, 408 for one that did not arrive in time, and 400 otherwise.
 func (e BodyError) HTTPStatus() int {
-	if e.TooLarge {
+	switch {
+	case e.TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(e.Err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusBadRequest
 	}
-	return http.StatusBadRequest
 }
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -20,6 +20,7 @@
 	"egretline.example/egretline/internal/front/callerconn"
 	"egretline.example/egretline/internal/http/dialect"
 	"egretline.example/egretline/internal/http/fullduplex"
+	"egretline.example/egretline/internal/transfer/transfercmd"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
@@ -70,8 +71,10 @@
 	Dispatcher Dispatcher
 	Pool       *http1.Pool
 	Gate       http1.Gate
-	Headers    dialect.Headers
-	Traffic    TrafficRecorder
+	// Transfers accounts the bytes that the node holds for callers and backend servers.
+	Transfers *transfercmd.Commands
+	Headers   dialect.Headers
+	Traffic   TrafficRecorder
 	// MaxBodyBytes bounds the size of a request body, in bytes.
 	MaxBodyBytes int64
 	// RegistryAge returns the age of the node's replica of the backend server registry, for the log.
@@ -109,28 +112,31 @@
 	ResponseDeadline time.Time
 	BufferedBody     []byte
 	RemainingBody    io.Reader
+	// Account accounts the bytes that the node holds for the request; nil before the request is matched with a route.
+	Account *transfercmd.Account
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req := request{ID: r.Header.Get(h.Headers.RequestID), Arrived: time.Now()}
+	defer func() { endAccount(req.Account) }()
 	duplex := fullduplex.New(w, r)
 	defer duplex.End()
 	w, r = duplex.Writer, duplex.Request
 	if h.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	req := request{ID: r.Header.Get(h.Headers.RequestID), Arrived: time.Now()}
 	// The write deadline of the previous request on this connection would otherwise still apply.
 	h.setWriteDeadline(w, req, req.Arrived.Add(defaultRequestTimeout))
-	req, err := h.decodeRequest(r, req)
+	req, err := h.decodeRequest(w, r, req)
 	if err != nil {
-		h.finish(w, req, table.Result{Outcome: fleet.NotRun, Err: err})
+		h.finish(w, req, table.Result{Outcome: fleet.NotRun, RetryAfter: retryAfter(err), Err: err})
 		return
 	}
 	h.finish(w, req, h.dispatch(w, r, req))
 }
 
-func (h *Handler) decodeRequest(r *http.Request, req request) (request, error) {
+func (h *Handler) decodeRequest(w http.ResponseWriter, r *http.Request, req request) (request, error) {
 	if req.ID == "" {
 		return req, HeaderError{Name: h.Headers.RequestID}
 	}
@@ -163,7 +169,11 @@
 	if err := h.takeQuota(&req); err != nil {
 		return req, err
 	}
-	if err := h.bufferBody(r, &req); err != nil {
+	req.Account = h.Transfers.Open(req.RankIndex, len(c.Ranks))
+	if err := admitResponse(&req); err != nil {
+		return req, err
+	}
+	if err := h.bufferBody(w, r, &req); err != nil {
 		return req, err
 	}
 	req.Service = h.Dispatcher.NextService(req.Route)
@@ -205,34 +215,15 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
-// bufferBody reads up to maxBufferedRequestBytes of the body. This happens before the dispatch, because a caller that
-// stalls while it sends the body would otherwise occupy a slot of a backend server.
-func (h *Handler) bufferBody(r *http.Request, req *request) error {
-	if r.ContentLength > h.MaxBodyBytes {
-		return BodyError{TooLarge: true, Err: HeaderError{Name: "Content-Length", Value: strconv.FormatInt(r.ContentLength, 10)}}
-	}
-	// Without the writer, the reader does not change the response headers while another goroutine writes them.
-	body := http.MaxBytesReader(nil, r.Body, h.MaxBodyBytes)
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedRequestBytes))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		return BodyError{TooLarge: errors.As(err, &tooLarge), Err: err}
-	}
-	req.BufferedBody = buffered
-	if len(buffered) == maxBufferedRequestBytes && r.ContentLength != maxBufferedRequestBytes {
-		req.RemainingBody = body
-	}
-	return nil
-}
-
 // dispatch submits the request to the dispatcher and waits for the result.
 func (h *Handler) dispatch(w http.ResponseWriter, r *http.Request, req request) table.Result {
 	h.setWriteDeadline(w, req, req.CallerDeadline.Add(responseWriteGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), req.ResponseDeadline)
 	defer cancel()
+	delivery := http1.NewDelivery(w, req.Account)
 	runner := &http1.Exchange{
 		Pool: h.Pool, Gate: h.Gate, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
-		RemainingBody: req.RemainingBody, Writer: w, RequestID: req.ID, Customer: req.Customer.Name,
+		RemainingBody: req.RemainingBody, Delivery: delivery, RequestID: req.ID, Customer: req.Customer.Name,
 		DropCredentials: req.DropCredentials, Idempotent: req.Route.Idempotent,
 		ResponseDeadline: req.ResponseDeadline,
 	}
@@ -243,23 +234,43 @@
 	t := &table.Ticket{
 		ID: req.ID, Service: req.Service, Route: req.Route.Name, Rank: req.RankIndex, Tenant: req.Customer.Name,
 		Idempotent: req.Route.Idempotent, Bulk: req.Route.LargeResponses, MaxPossibleRuns: req.Route.MaxRuns,
-		BackupDelay: backupDelay(req), Arrived: req.Arrived, Deadline: req.ResponseDeadline,
+		BackupDelay: backupDelay(req), BodyBytes: bodyBytes(r), Arrived: req.Arrived, Deadline: req.ResponseDeadline,
 		TargetLatency: req.Route.TargetLatency, Context: ctx,
 		Runner: runner, Done: make(chan table.Result, 1),
 	}
 	if err := h.Dispatcher.Admit(req.Arrived, t); err != nil {
 		return table.Result{Outcome: fleet.NotRun, RetryAfter: dispatchcmd.RetryAfter(err), Err: err}
 	}
+	return h.await(ctx, t, delivery)
+}
+
+// await writes the response as the worker reads it, and returns the result of the request.
+func (h *Handler) await(ctx context.Context, t *table.Ticket, d *http1.Delivery) table.Result {
+	var result table.Result
+	var ended bool
 	select {
-	case result := <-t.Done:
-		return result
+	case <-d.Started:
+	case result = <-t.Done:
+		ended = true
 	case <-ctx.Done():
-	}
-	if h.Dispatcher.Cancel(t) {
-		return dispatchcmd.Abandoned(t)
-	}
-	// A worker is still using the request and the response writer. Its exchange ends with the context.
-	return <-t.Done
+		if h.Dispatcher.Cancel(t) {
+			return dispatchcmd.Abandoned(t)
+		}
+		// A worker is still using the request. Its exchange ends with the context.
+		select {
+		case <-d.Started:
+		case result = <-t.Done:
+			ended = true
+		}
+	}
+	err := d.Run() // the response may have started also if the worker has ended
+	if !ended {
+		result = <-t.Done
+	}
+	if err != nil && !result.Aborted {
+		result.Outcome, result.Aborted, result.Err = fleet.Unknown, true, DeliveryError{Err: err}
+	}
+	return result
 }
 
 // setWriteDeadline bounds the time that the caller may take to read the response.
--- a/internal/front/hostfront/upload_test.go
+++ b/internal/front/hostfront/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,8 @@
 	Address string
 	// Turn delays each request until it is closed; nil means no delay.
 	Turn <-chan struct{}
+	// HeldBytes bounds what the node holds; zero means hostBytes.
+	HeldBytes int64
 }
 
 func (directDispatcher) NextService(r fleet.Route) string { return r.Service }
@@ -62,7 +65,7 @@
 	close(started)
 	s := httptest.NewUnstartedServer(&Handler{
 		Config: &fakeConfigSource{testConfiguration()}, Dispatcher: d, Pool: http1.NewPool(),
-		Gate: openGate{}, Headers: dialect.Headers{RequestID: "Request-Id", Deadline: "Deadline", Signature: "Signature"},
+		Gate: openGate{}, Transfers: newTransfers(cmp.Or(d.HeldBytes, hostBytes)), Headers: dialect.Headers{RequestID: "Request-Id", Deadline: "Deadline", Signature: "Signature"},
 		Traffic: discardTraffic{}, MaxBodyBytes: 1 << 20, RegistryAge: func() time.Duration { return 0 }, StartupDone: started,
 		Leaving: func() bool { return false }, Log: zerolog.Nop(),
 	})
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -4,6 +4,7 @@
 package entrynode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -26,6 +27,7 @@
 	"egretline.example/egretline/internal/replica/replicaquery"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/internal/roster/rosterquery"
+	"egretline.example/egretline/internal/transfer/transfercmd"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/dispatchquery"
@@ -45,6 +47,8 @@
 	// exchangeWorkers bounds the concurrent requests from a node to backend servers. The largest deployments have 300
 	// backend servers with 6 slots each behind about five entry hosts.
 	exchangeWorkers = 768
+	// defaultHeldBytes bounds what a node holds for callers and backend servers if its memory limit is not known.
+	defaultHeldBytes = 32 << 20
 	// slotSharingNodes is the number of nodes assumed to share the slots of a backend server when its concurrency limit
 	// is initialized. The limit adapts to load shedding by the server; half of the usual four entry hosts lets one of
 	// them use idle slots.
@@ -74,6 +78,11 @@
 	Headers dialect.Headers
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64
+	// HeldBytes bounds what the node holds for callers and backend servers; zero means defaultHeldBytes.
+	HeldBytes int64
+	// MaxServerBodyBytes bounds the request bodies outstanding at a backend server from all nodes together; zero means no
+	// bound.
+	MaxServerBodyBytes int64
 	// EntryTTL is how long callers may cache a directory response.
 	EntryTTL time.Duration
 	// GracePeriod is the time between the stop signal and the forced end of the process.
@@ -177,6 +186,7 @@
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
+	n.Dispatcher.MaxServerBodyBytes = o.MaxServerBodyBytes
 	n.Dispatcher.AvailabilityZone = o.Self.AvailabilityZone
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.syncPool = pool.New("sync", syncWorkers, syncWorkers, n.sync)
@@ -184,7 +194,7 @@
 	n.reportPool = pool.New("report", reportWorkers, reportQueueLength, n.sendReport)
 	front := &hostfront.Handler{
 		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns,
-		Gate: &healthquery.Queries{Tables: t}, Headers: o.Headers,
+		Gate: &healthquery.Queries{Tables: t}, Transfers: transfercmd.New(t, cmp.Or(o.HeldBytes, defaultHeldBytes), logger), Headers: o.Headers,
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
 		RegistryAge:      func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
 		ConfigurationAge: func() time.Duration { return n.Replicas.Age(table.TopicConfiguration, time.Now()) },
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"egretline.example/egretline/internal/transfer/transferquery"
 	"egretline.example/egretline/pkg/dispatchquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -31,12 +32,22 @@
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
 		}
+		writeTransferUsage(&b, (&transferquery.Queries{Tables: n.Tables}).Usage())
 		fmt.Fprintf(&b, "entry-hosts %d\n", len(n.Roster.EntryHosts()))
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		_, _ = w.Write(b.Bytes()) // a disconnected client misses one sample
 	})
 }
 
+func writeTransferUsage(b *bytes.Buffer, u transferquery.Usage) {
+	fmt.Fprintf(b, "held-bytes{direction=\"requests\"} %d\n", u.RequestBytes)
+	fmt.Fprintf(b, "held-bytes{direction=\"responses\"} %d\n", u.ResponseBytes)
+	fmt.Fprintf(b, "held-bytes-limit %d\n", u.LimitBytes)
+	fmt.Fprintf(b, "transfers-waiting %d\n", u.Waiting)
+	fmt.Fprintf(b, "transfers-slowed %d\n", u.Slowed)
+	fmt.Fprintf(b, "transfers-refused %d\n", u.Refused)
+}
+
 func writeDispatchCounts(b *bytes.Buffer, q *dispatchquery.Queries) {
 	for _, c := range q.Counts() {
 		labels := fmt.Sprintf("{service=%q,rank=\"%d\"", c.Service, c.Rank)
--- a/internal/node/entrysettings/entrysettings.go
+++ b/internal/node/entrysettings/entrysettings.go
@@ -10,6 +10,10 @@
 	"egretline.example/egretline/pkg/settings"
 )
 
+// defaultServerRequestMB leaves half of the memory of a small backend server to other things than request bodies, and admits
+// the largest body that operators allow.
+const defaultServerRequestMB = 64
+
 // Settings holds the settings that an entry node needs before it reads the log.
 type Settings struct {
 	HostID           string `toml:"host-id"`
@@ -33,6 +37,8 @@
 	Cores         float64 `toml:"cores"`
 	BandwidthMbps float64 `toml:"bandwidth-mbps"`
 	MemoryMB      int64   `toml:"memory-mb"`
+	// ServerRequestMB bounds the request bodies outstanding at a backend server from all nodes together, in MB.
+	ServerRequestMB int64 `toml:"server-request-mb"`
 
 	// EntryTTL is how long callers may cache a directory response.
 	EntryTTL settings.Duration `toml:"entry-ttl"`
@@ -56,7 +62,7 @@
 
 // Decode parses and validates the contents of a settings file. The path is used only in errors.
 func Decode(path string, contents []byte) (Settings, error) {
-	s := Settings{LogLevel: "info"}
+	s := Settings{LogLevel: "info", ServerRequestMB: defaultServerRequestMB}
 	if err := settings.DecodeStrict(path, contents, &s); err != nil {
 		return Settings{}, err
 	}
@@ -86,6 +92,7 @@
 		{"cores", s.Cores > 0},
 		{"bandwidth-mbps", s.BandwidthMbps > 0},
 		{"memory-mb", s.MemoryMB > 0},
+		{"server-request-mb", s.ServerRequestMB > 0},
 		{"entry-ttl", s.EntryTTL.Duration > 0},
 		{"grace", s.GracePeriod.Duration > time.Second},
 		{"retry-ratio", s.RetryRatio >= 0 && s.RetryRatio < 1},
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
@@ -75,7 +76,7 @@
 			admission.Configure(queue, ranks, slots, trialServers)
 			queue.MarginDeviations = d.MarginDeviations
 			p := newServicePool(servers, queue, b.Health[service], now)
-			p.Sharing = sharing
+			p.Sharing, p.MaxServerBodyBytes = sharing, d.MaxServerBodyBytes
 			pauses = pausesOf(b, service, now)
 			for _, t := range removePaused(queue, pauses, now) {
 				countsOf(q, t).Refused[admission.ServersPaused]++
@@ -185,19 +186,27 @@
 		t.Dispatched = now
 	}
 	countsOf(q, t).Attempts++
-	chosen.Outstanding++
+	takeSlot(chosen, t, now)
 	if detect.OutOfUse(&chosen.State) {
 		detect.StartTrial(&chosen.State, t.ID)
 	}
-	chosen.InFlight[t.ID] = table.InFlight{Started: now}
 	// TrySubmit cannot fail: the queue has room for every worker, and the pool closes only after all requests have ended.
 	return d.exchange.TrySubmit(newAssignment(p, t, chosen, now)) == nil
 }
 
+// takeSlot counts the ticket as outstanding at the server.
+func takeSlot(s *table.Backend, t *table.Ticket, now time.Time) {
+	s.Outstanding++
+	s.OutstandingBytes += t.BodyBytes
+	s.InFlight[t.ID] = table.InFlight{Started: now, BodyBytes: t.BodyBytes}
+}
+
 // servicePool holds the backend servers of one service and their load.
 type servicePool struct {
 	Servers map[string]*table.Backend
 	Sharing Sharing
+	// MaxServerBodyBytes is the value of Dispatcher.MaxServerBodyBytes.
+	MaxServerBodyBytes int64
 	// Backlog is the time that all slots together need to serve the waiting requests.
 	Backlog time.Duration
 	// HighLossRate reports whether the service is losing a large fraction of its requests.
@@ -283,7 +292,7 @@
 	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
 		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
-		if use == healthquery.NoUse {
+		if use == healthquery.NoUse || !p.allowsBody(s, t) {
 			continue
 		}
 		state := p.breakerState(s, t, now)
@@ -303,6 +312,11 @@
 	return p.Servers[candidates[n].Address]
 }
 
+// allowsBody reports whether the server may hold the request body of the ticket beside those that it has.
+func (p servicePool) allowsBody(s *table.Backend, t *table.Ticket) bool {
+	return bytebudget.ServerAllows(p.MaxServerBodyBytes, s.OutstandingBytes, t.BodyBytes, p.Sharing.Nodes)
+}
+
 // limitFor returns the concurrency limit of the server for the ticket. Large responses stay in their availability zone,
 // and therefore only the nodes of that zone share the server's slots for them.
 func (p servicePool) limitFor(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/retry"
@@ -139,6 +140,9 @@
 	out := table.Assignment{Ticket: t, BreakerState: detect.Closed}
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		s := leastLoaded(b.Services[t.Service], a.Server.Address, now)
+		if s != nil && !bytebudget.ServerAllows(d.MaxServerBodyBytes, s.OutstandingBytes, t.BodyBytes, d.currentSharing().Nodes) {
+			return
+		}
 		if s == nil {
 			return
 		}
@@ -146,8 +150,7 @@
 		if !reserved {
 			return
 		}
-		s.Outstanding++
-		s.InFlight[t.ID] = table.InFlight{Started: now}
+		takeSlot(s, t, now)
 		out.Server, out.Outstanding = s.Server, s.Outstanding
 	})
 	return out, reserved
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -36,6 +36,9 @@
 	AvailabilityZone string
 	// MarginDeviations is the value of admission.Queue.MarginDeviations for all queues.
 	MarginDeviations float64
+	// MaxServerBodyBytes bounds the request bodies outstanding at a backend server from all nodes together; zero means no
+	// bound.
+	MaxServerBodyBytes int64
 
 	exchange *pool.Pool[table.Assignment]
 	// sharing is the last value given to SetSharing.
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -160,6 +160,7 @@
 	if s, ok := b.Services[a.Ticket.Service][a.Server.Address]; ok {
 		updateLimit(s, r.Evidence, now)
 		s.Outstanding--
+		s.OutstandingBytes -= s.InFlight[a.Ticket.ID].BodyBytes
 		delete(s.InFlight, a.Ticket.ID)
 	}
 }
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -44,6 +44,8 @@
 	Server      fleet.BackendServer
 	FirstSeen   time.Time
 	Outstanding int
+	// OutstandingBytes is the length of the bodies of the outstanding requests.
+	OutstandingBytes int64
 	// Limit bounds Outstanding. It is set when the first request is dispatched to the service.
 	Limit admission.Limit
 	// InFlight is keyed by ticket ID.
@@ -76,6 +78,8 @@
 // InFlight is a request that a backend server has not completed.
 type InFlight struct {
 	Started time.Time
+	// BodyBytes is the length of the request body.
+	BodyBytes int64
 	// Responded reports whether the response headers have arrived. After that, the age of the request does not indicate
 	// a stall.
 	Responded bool
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -25,6 +25,7 @@
 	RankKeys
 	RankBudgets
 	RankTraffic
+	RankTransfers
 )
 
 // Tables is the shared state of one node.
@@ -38,20 +39,23 @@
 	Keys     *guard.Guard[Keys]
 	Traffic  *guard.Guard[Traffic]
 	Budgets  *guard.Guard[Budgets]
+	// Transfers holds the byte budget of the transfers in progress.
+	Transfers *guard.Guard[Transfers]
 }
 
 // New returns empty tables for the node on the given host.
 func New(self fleet.Host, incarnation string) *Tables {
 	return &Tables{
-		Config:   guard.New(RankConfig, Config{}),
-		Replicas: guard.New(RankReplicas, newReplicas()),
-		Members:  guard.New(RankMembers, newMembers(self, incarnation)),
-		Roster:   guard.New(RankRoster, Roster{Self: self, Hosts: map[string]*roster.State{}}),
-		Backends: guard.New(RankBackends, newBackends()),
-		Queues:   guard.New(RankQueues, newQueues()),
-		Keys:     guard.New(RankKeys, newKeys()),
-		Traffic:  guard.New(RankTraffic, newTraffic()),
-		Budgets:  guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
+		Config:    guard.New(RankConfig, Config{}),
+		Replicas:  guard.New(RankReplicas, newReplicas()),
+		Members:   guard.New(RankMembers, newMembers(self, incarnation)),
+		Roster:    guard.New(RankRoster, Roster{Self: self, Hosts: map[string]*roster.State{}}),
+		Backends:  guard.New(RankBackends, newBackends()),
+		Queues:    guard.New(RankQueues, newQueues()),
+		Keys:      guard.New(RankKeys, newKeys()),
+		Traffic:   guard.New(RankTraffic, newTraffic()),
+		Budgets:   guard.New(RankBudgets, Budgets{Params: retry.DefaultBudgetParams(), Services: map[string]*retry.Budget{}}),
+		Transfers: guard.New(RankTransfers, newTransfers()),
 	}
 }
 
@@ -96,8 +100,10 @@
 	// BackupDelay is the duration of an attempt after which a backup attempt is sent to another server; zero disables
 	// backup attempts.
 	BackupDelay time.Duration
-	Arrived     time.Time
-	Deadline    time.Time
+	// BodyBytes is the length of the request body; UnknownBodyBytes if it is not known.
+	BodyBytes int64
+	Arrived   time.Time
+	Deadline  time.Time
 	// TargetLatency is the time within which the response should arrive; zero means the time until the deadline.
 	TargetLatency time.Duration
 	// Context ends at the deadline or when the caller cancels the request.
