--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -21,9 +21,9 @@
 
 const (
 	readBufferBytes = 8 << 10
-	// slowedReceiveBytes is the size of the kernel's receive buffer of a connection that is not read as fast as the server
-	// sends. The kernel may otherwise hold several megabytes, which count toward the memory of the process.
-	slowedReceiveBytes = 64 << 10
+	// receiveBufferBytes is the size of the kernel's receive buffer of a connection. The kernel would otherwise let it grow to
+	// several megabytes, which count toward the memory of the process while a response is not read.
+	receiveBufferBytes = 64 << 10
 	// DialTimeout is far above the round-trip time between availability zones. It is below the 1 s after which a lost SYN
 	// is retransmitted, because connecting to another backend server is faster.
 	DialTimeout = 350 * time.Millisecond
@@ -54,8 +54,6 @@
 	reader *bufio.Reader
 	// hasReadDeadline reports whether a read deadline is set on the connection.
 	hasReadDeadline bool
-	// hasSmallReceiveBuffer reports whether the kernel no longer grows the receive buffer of the connection.
-	hasSmallReceiveBuffer bool
 	// refusedIDs lists the requests that the server refused on this connection. A faulty server may send such a refusal
 	// again, so the connection does not carry these requests a second time.
 	refusedIDs []string
@@ -126,7 +124,7 @@
 	if !ok {
 		return nil, DialError{Address: address, Err: net.UnknownNetworkError(raw.LocalAddr().Network())}
 	}
-	if err := setUserTimeout(tcp); err != nil {
+	if err := errors.Join(setUserTimeout(tcp), tcp.SetReadBuffer(receiveBufferBytes)); err != nil {
 		_ = tcp.Close()
 		return nil, DialError{Address: address, Err: err}
 	}
@@ -207,14 +205,6 @@
 	_ = c.tcp.Close()
 }
 
-// limitReceiveBuffer bounds what the kernel holds for the connection.
-func (c *Conn) limitReceiveBuffer() {
-	if !c.hasSmallReceiveBuffer {
-		// An error means that the connection is closed, which the next read reports.
-		c.hasSmallReceiveBuffer = c.tcp.SetReadBuffer(slowedReceiveBytes) == nil
-	}
-}
-
 // isReusable reports whether nothing has arrived on the idle connection, neither bytes nor the end of the stream.
 func (c *Conn) isReusable() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/backend/http1/delivery.go
+++ b/internal/backend/http1/delivery.go
@@ -122,7 +122,7 @@
 	for p := d.next(); p != nil; p = d.next() {
 		_, err := d.Writer.Write(p.data)
 		if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-			d.fail(err)
+			d.fail(p, err)
 			return err
 		}
 		d.finishPiece(p)
@@ -176,11 +176,11 @@
 	}
 }
 
-// fail drops what is left of the response.
-func (d *Delivery) fail(err error) {
+// fail drops what is left of the response after a piece that could not be written.
+func (d *Delivery) fail(p *piece, err error) {
 	d.mu.Lock()
 	d.writeErr = err
-	left := d.pieces
+	left := append(d.pieces, p) //nolint:gocritic // the pieces are dropped
 	d.pieces = nil
 	d.mu.Unlock()
 	signal(d.progress)
@@ -233,7 +233,7 @@
 
 // add appends a piece, and blocks as long as the node may hold no more for this request. It returns the error of the caller's
 // connection or the cause of the context's end.
-func (d *Delivery) add(ctx context.Context, p *piece, slowed func()) error {
+func (d *Delivery) add(ctx context.Context, p *piece) error {
 	d.pace(ctx)
 	if d.joinLast(p) {
 		return nil
@@ -242,7 +242,6 @@
 		p.heldBytes = copyBufferBytes
 		return d.push(p)
 	}
-	slowed()
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p.onWritten = cancel
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -379,6 +379,7 @@
 	e.stopAbort = context.AfterFunc(ctx, e.conn.Abort)
 	h := e.responseHeader()
 	e.Delivery.start(r.Status, h, e.buffered)
+	e.buffered = nil
 	if err := e.readRest(ctx, &r); err != nil {
 		e.Delivery.end(err, false)
 		r.Outcome, r.Aborted, r.Err = fleet.Unknown, true, err
@@ -422,7 +423,7 @@
 		p := newPiece()
 		n, readErr := e.response.Body.Read(p.buffer[:])
 		if p.data = p.buffer[:n]; n > 0 {
-			if err := e.Delivery.add(ctx, p, e.conn.limitReceiveBuffer); err != nil {
+			if err := e.Delivery.add(ctx, p); err != nil {
 				r.Evidence = fleet.Canceled
 				return ExchangeError{Address: e.conn.Address, Stage: stageDelivery, Err: err}
 			}
