--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -124,7 +124,8 @@
 	if !ok {
 		return nil, DialError{Address: address, Err: net.UnknownNetworkError(raw.LocalAddr().Network())}
 	}
-	if err := errors.Join(setUserTimeout(tcp), tcp.SetReadBuffer(receiveBufferBytes)); err != nil {
+	_ = tcp.SetReadBuffer(receiveBufferBytes) // without it, the kernel chooses the size
+	if err := setUserTimeout(tcp); err != nil {
 		_ = tcp.Close()
 		return nil, DialError{Address: address, Err: err}
 	}
--- a/internal/backend/http1/delivery_test.go
+++ b/internal/backend/http1/delivery_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/internal/transfer/transfercmd"
 	"egretline.example/egretline/internal/transfer/transferquery"
 	"egretline.example/egretline/pkg/fleet"
@@ -56,9 +57,10 @@
 	}
 }
 
-func assertHeld(t *testing.T, a *transfercmd.Account, want int64) {
+// assertReturned checks that no bytes of responses are held.
+func assertReturned(t *testing.T, a *transfercmd.Account) {
 	t.Helper()
-	is.New(t).Equal((&transferquery.Queries{Tables: a.Commands.Tables}).Usage().ResponseBytes, want)
+	is.New(t).Equal((&transferquery.Queries{Tables: a.Commands.Tables}).Usage().ResponseBytes, int64(0))
 }
 
 // newLongExchange returns an exchange for request r1 under a byte budget.
@@ -82,7 +84,7 @@
 					w := httptest.NewRecorder()
 					e, account := newLongExchange(limit, w)
 					assertAnswered(t, sendAndDeliver(e, b.Server), w, body)
-					assertHeld(t, account, 0)
+					assertReturned(t, account)
 				})
 			}
 		}
@@ -96,7 +98,7 @@
 				r := sendAndDeliver(e, b.Server)
 				is.New(t).True(r.Aborted && r.Err != nil)
 				account.End()
-				assertHeld(t, account, 0)
+				assertReturned(t, account)
 			})
 		}
 	}
@@ -158,14 +160,14 @@
 		close(resume)
 		is.NoErr(<-delivered)
 		is.True(w.Body.String() == body)
-		assertHeld(t, account, 0)
+		assertReturned(t, account)
 	})
 	t.Run("bytes that come back let a slowed transfer read on", func(t *testing.T) {
 		is := is.New(t)
 		b, sent := newServer(t)
 		transfers := newAccount(hostBytes).Commands
 		var others []*transfercmd.Account
-		for other := transfers.Open(0, 1); other.TryTake(1, 64<<10); other = transfers.Open(0, 1) {
+		for other := transfers.Open(0, 1); other.TryTake(bytebudget.Responses, 64<<10); other = transfers.Open(0, 1) {
 			others = append(others, other)
 		}
 		w := stalledWriter{httptest.NewRecorder(), make(chan error)}
@@ -194,7 +196,7 @@
 			is.Equal(r.Evidence, fleet.Canceled) // no evidence against the server
 			assertClosed(t, sent)
 			account.End()
-			assertHeld(t, account, 0)
+			assertReturned(t, account)
 		}
 	})
 	t.Run("a deadline ends a slowed transfer", func(t *testing.T) {
@@ -211,6 +213,6 @@
 		is.True(r.Aborted && errors.Is(r.Err, context.DeadlineExceeded))
 		assertClosed(t, sent)
 		account.End()
-		assertHeld(t, account, 0)
+		assertReturned(t, account)
 	})
 }
--- a/internal/decide/bytebudget/bytebudget.go
+++ b/internal/decide/bytebudget/bytebudget.go
@@ -32,8 +32,8 @@
 	aheadFraction = 0.75
 	// leastUrgentFraction is the part of the common half that the least urgent rank may use.
 	leastUrgentFraction = 0.5
-	// shortBodyBytes is the length of a request body that a backend server always has memory for.
-	shortBodyBytes = 64 << 10
+	// ShortBodyBytes is the length of a request body that a backend server always has memory for.
+	ShortBodyBytes = 64 << 10
 	// resumeFraction is the part of the budget below which a budget that was short counts as sufficient again.
 	resumeFraction = 0.5
 	// releaseWindow is the time over which the rate of returned bytes is averaged.
@@ -251,5 +251,5 @@
 // a server holds is divided among the nodes that share it. One request is always allowed, and so are short bodies, of which
 // the slots of a server bound the sum.
 func ServerAllows(limit, outstanding, body int64, nodes int) bool {
-	return limit <= 0 || outstanding == 0 || body <= shortBodyBytes || outstanding+body <= limit/int64(max(nodes, 1))
+	return limit <= 0 || outstanding == 0 || body <= ShortBodyBytes || outstanding+body <= limit/int64(max(nodes, 1))
 }
--- a/internal/decide/bytebudget/bytebudget_test.go
+++ b/internal/decide/bytebudget/bytebudget_test.go
@@ -208,5 +208,5 @@
 		is.New(t).True(total >= int64(nodes)*body && total <= serverLimit)
 	}
 	is.New(t).True(ServerAllows(serverLimit, 0, 2*serverLimit, 60))            // alone
-	is.New(t).True(ServerAllows(serverLimit, serverLimit, shortBodyBytes, 60)) // short
+	is.New(t).True(ServerAllows(serverLimit, serverLimit, ShortBodyBytes, 60)) // short
 }
--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -86,7 +86,7 @@
 				// No server may become available before the node stops.
 				late = d.removeLate(q, queue, now)
 			}
-			for d.assignNext(now, p, q, queue, &late) {
+			for d.assignNext(now, p, q, queue, &late, maxDeferrals) {
 				q.InFlight++
 			}
 		})
@@ -164,20 +164,28 @@
 // assignNext submits one waiting request of the queue to a worker, and reports whether there was one that could be
 // assigned. It appends the requests that can no longer meet their deadline to late.
 func (d *Dispatcher) assignNext(
-	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
+	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket, deferrals int,
 ) bool {
 	if q.InFlight >= d.Workers || !anyServerAvailable(p.Servers, now) {
 		return false
 	}
 	var chosen *table.Backend
+	var uploads []admission.Item[*table.Ticket]
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
 		chosen = chooseServer(p, i.Payload, d.AvailabilityZone, now)
+		if chosen == nil && i.Payload.BodyBytes > bytebudget.ShortBodyBytes {
+			uploads = append(uploads, i)
+		}
 		return chosen != nil
 	})
 	for _, i := range picked.Late {
 		countsOf(q, i.Payload).Late++
 		*late = append(*late, i.Payload)
 	}
+	if !picked.Found && len(uploads) > 0 && deferrals > 0 {
+		deferUploads(queue, uploads)
+		return d.assignNext(now, p, q, queue, late, deferrals-1)
+	}
 	if !picked.Found {
 		return false
 	}
@@ -194,6 +202,19 @@
 	return d.exchange.TrySubmit(newAssignment(p, t, chosen, now)) == nil
 }
 
+// maxDeferrals bounds how many uploads are deferred in one search for a request.
+const maxDeferrals = 8
+
+// deferUploads moves uploads for which no server has memory behind the other requests of their tenants, which would otherwise
+// wait for them although they fit.
+func deferUploads(queue *admission.Queue[*table.Ticket], uploads []admission.Item[*table.Ticket]) {
+	for _, i := range uploads {
+		if i.Attempt == 0 && admission.Remove(queue, i.Rank, i.ID) {
+			admission.Push(queue, i)
+		}
+	}
+}
+
 // takeSlot counts the ticket as outstanding at the server.
 func takeSlot(s *table.Backend, t *table.Ticket, now time.Time) {
 	s.Outstanding++
--- /dev/null
+++ b/pkg/dispatchcmd/bodies_test.go
@@ -0,0 +1,53 @@
+package dispatchcmd
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/table"
+)
+
+// outstandingBytes returns the length of the request bodies at all servers, and the most at one of them.
+func (f *fixture) outstandingBytes() (sum, most int64) {
+	f.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+		for _, s := range b.Services[service] {
+			sum += s.OutstandingBytes
+			most = max(most, s.OutstandingBytes)
+		}
+	})
+	return sum, most
+}
+
+// TestServerBodies guards against uploads that exceed the memory of a backend server although it has free slots, and against
+// uploads or other requests that wait for good because of that.
+func TestServerBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10, 2)
+		defer f.Close()
+		f.MaxServerBodyBytes = 1 << 20
+		f.SetSharing(Sharing{Nodes: 1})
+		var tickets []*table.Ticket
+		for range 4 {
+			upload := f.ticket("a", 10*time.Second, &fakeRunner{})
+			upload.BodyBytes = 700 << 10
+			tickets = append(tickets, upload)
+		}
+		wait := f.start(tickets...)
+		synctest.Wait()
+		_, most := f.outstandingBytes()
+		is.Equal(most, int64(700<<10)) // one upload at each server
+		small := f.roundTrip(f.ticket("a", 10*time.Second, &fakeRunner{}))
+		is.Equal(small.QueueDelay, time.Duration(0))
+		for _, r := range append(wait(), small) {
+			is.Equal(r.Outcome, fleet.Answered)
+		}
+		sum, _ := f.outstandingBytes()
+		is.Equal(sum, int64(0))
+	})
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,7 +34,7 @@
 	{"backend-reset", backendRelayFault(relay.Faults{Refuse: true})},
 	{"backend-delay", backendRelayFault(relay.Faults{DelayMs: 150})},
 	{"fails", backendModeFault(standin.ModeFail)},
-	{"burst", sendBurst}, {"term-under-load", stopNodeUnderLoad}, {"slows", backendModeFault(standin.ModeSlow)}, {"answers-early", backendModeFault(standin.ModeEarly)},
+	{"burst", sendBurst}, {"reads-slowly", readSlowly}, {"term-under-load", stopNodeUnderLoad}, {"slows", backendModeFault(standin.ModeSlow)}, {"answers-early", backendModeFault(standin.ModeEarly)},
 	{"hangs", backendModeFault(standin.ModeHang)}, {"sheds", backendModeFault(standin.ModeShed)},
 	{"pauses", backendModeFault(standin.ModePause)}, {"repeats-refusals", backendModeFault(standin.ModeRepeatRefusal)},
 	{"floods-head", backendModeFault(standin.ModeFloodHead)}, {"floods-body", backendModeFault(standin.ModeFloodBody)},
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -141,12 +141,12 @@
 cpu-share = 0.32
 cores = 1
 bandwidth-mbps = 1000.0
-memory-mb = 284
+memory-mb = %d
 entry-ttl = "1s"
 grace = %q
 retry-ratio = 0.2
 retry-burst = 62
-`, n.id, k%2, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, gracePeriod)
+`, n.id, k%2, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, nodeMemoryMB, gracePeriod)
 	const fileMode = 0o600
 	is.New(h.t).NoErr(os.WriteFile(n.settingsPath, []byte(settings), fileMode))
 	h.nodes = append(h.nodes, n)
