--- a/test/fleetproc/process.go
+++ b/test/fleetproc/process.go
@@ -82,14 +82,22 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// Signal sends the signal to the process. It does nothing if the process has ended.
-func (p *Process) Signal(s syscall.Signal) error {
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
 	select {
 	case <-p.done:
-		return nil
+		return true
 	default:
-		return eris.Wrap(p.cmd.Process.Signal(s), "signal "+p.Name)
+		return false
+	}
+}
+
+// Signal sends the signal to the process. It does nothing if the process has ended.
+func (p *Process) Signal(s syscall.Signal) error {
+	if p.Ended() {
+		return nil
 	}
+	return eris.Wrap(p.cmd.Process.Signal(s), "signal "+p.Name)
 }
 
 // Wait waits until the process ends. It returns an ExitError if the process failed, or an error if the context ends first.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -83,6 +83,7 @@
 	h.sleep(assessmentDuration)
 	stop()
 	workers.Wait()
+	h.checkProcesses()
 	for _, v := range h.violations() {
 		t.Error(v)
 	}
