Describe the byte budget; report it as sufficient only after 2 s without slowed transfers

Without that time, transfers of the least urgent rank, which may use less than half of the budget, made the state change with each piece and wrote a log line each.

--- a/internal/decide/bytebudget/bytebudget.go
+++ b/internal/decide/bytebudget/bytebudget.go
@@ -36,6 +36,8 @@
 	ShortBodyBytes = 64 << 10
 	// resumeFraction is the part of the budget below which a budget that was short counts as sufficient again.
 	resumeFraction = 0.5
+	// resumeDelay is the time without slowed or refused transfers after which a budget that was short counts as sufficient again.
+	resumeDelay = 2 * time.Second
 	// releaseWindow is the time over which the rate of returned bytes is averaged.
 	releaseWindow = 4 * time.Second
 	// minRetryAfter and maxRetryAfter bound the delay that a refused caller is asked to wait.
@@ -56,6 +58,8 @@
 	Waiting []Waiter
 	// Short reports whether the budget binds: a transfer was slowed or refused, and the budget has not recovered since.
 	Short bool
+	// ShortAt is when a transfer was last slowed or refused.
+	ShortAt time.Time
 	// Slowed and Refused count the transfers that had to wait for bytes and those that were refused.
 	Slowed  int64
 	Refused int64
@@ -172,9 +176,11 @@
 }
 
 // Wait adds a slowed transfer behind those of its rank.
-func Wait(b *Budget, w Waiter) {
+func Wait(b *Budget, w Waiter, now time.Time) {
 	b.Slowed++
-	b.Short = b.Short || !overTransferLimit(b, w.Need)
+	if !overTransferLimit(b, w.Need) {
+		b.Short, b.ShortAt = true, now
+	}
 	i := slices.IndexFunc(b.Waiting, func(other Waiter) bool { return other.Rank > w.Rank })
 	if i < 0 {
 		i = len(b.Waiting)
@@ -207,7 +213,11 @@
 	if i := slices.IndexFunc(b.Waiting, func(w Waiter) bool { return w.ID == id }); i >= 0 {
 		b.Waiting[i].Held -= n.Bytes
 	}
-	return grant(b)
+	granted := grant(b)
+	if len(b.Waiting) == 0 && now.Sub(b.ShortAt) >= resumeDelay && float64(Total(b)) <= resumeFraction*float64(b.LimitBytes) {
+		b.Short = false
+	}
+	return granted
 }
 
 // grant takes the bytes of the slowed transfers that the budget allows now, in the order of their ranks, and returns them.
@@ -220,9 +230,6 @@
 		granted = append(granted, w)
 		return true
 	})
-	if b.Short && len(b.Waiting) == 0 && float64(Total(b)) <= resumeFraction*float64(b.LimitBytes) {
-		b.Short = false
-	}
 	return granted
 }
 
@@ -230,7 +237,7 @@
 // which bytes were given back lately.
 func Refuse(b *Budget, n Need, now time.Time) time.Duration {
 	b.Refused++
-	b.Short = true
+	b.Short, b.ShortAt = true, now
 	perSecond := returned(b, now) / releaseWindow.Seconds()
 	if perSecond <= 0 {
 		return maxRetryAfter
--- a/internal/decide/bytebudget/bytebudget_test.go
+++ b/internal/decide/bytebudget/bytebudget_test.go
@@ -83,7 +83,7 @@
 			"take": func(t *rapid.T) { w.take(drawNeed(t)) },
 			"wait": func(t *rapid.T) {
 				w.nextID++
-				Wait(&w.budget, Waiter{ID: w.nextID, Need: drawNeed(t)})
+				Wait(&w.budget, Waiter{ID: w.nextID, Need: drawNeed(t)}, start)
 			},
 			"cancel": func(t *rapid.T) { Cancel(&w.budget, rapid.Uint64Range(0, w.nextID).Draw(t, "id")) },
 			"end":    func(t *rapid.T) { w.release(rapid.Uint64Range(0, w.nextID).Draw(t, "id")) },
@@ -141,7 +141,7 @@
 			n.Held += n.Bytes
 		}
 		is.True(n.Held <= limit/maxTransferFraction)
-		Wait(&w.budget, Waiter{ID: 1, Need: n})
+		Wait(&w.budget, Waiter{ID: 1, Need: n}, start)
 		is.True(!w.budget.Short) // others are not slowed
 		is.Equal(len(Release(&w.budget, 1, Need{Bytes: n.Bytes}, start)), 1)
 	})
@@ -157,7 +157,7 @@
 	n := Need{Direction: Responses, Bytes: 32 << 10}
 	for id, rank := range []int{2, 1, 0, 0} {
 		n.Rank = rank
-		Wait(&w.budget, Waiter{ID: 1000_000 + uint64(id), Need: n})
+		Wait(&w.budget, Waiter{ID: 1000_000 + uint64(id), Need: n}, start)
 	}
 	var order []uint64
 	for len(w.budget.Waiting) > 0 && len(w.held) > 0 {
@@ -188,7 +188,9 @@
 	got := Refuse(&w.budget, n, start)
 	is.True(got >= minRetryAfter && got < maxRetryAfter)
 	is.Equal(w.budget.Refused, int64(2))
-	Release(&w.budget, 0, Need{Direction: Responses, Bytes: 16 << 20}, start)
+	Release(&w.budget, 0, Need{Direction: Responses, Bytes: 8 << 20}, start)
+	is.True(w.budget.Short) // a line for each piece would flood the log
+	Release(&w.budget, 0, Need{Direction: Responses, Bytes: 8 << 20}, start.Add(resumeDelay))
 	is.True(!w.budget.Short) // the budget has recovered
 }
 
--- a/internal/transfer/transfercmd/transfercmd.go
+++ b/internal/transfer/transfercmd/transfercmd.go
@@ -79,7 +79,7 @@
 			v.NextID++
 			a.Transfer.ID = v.NextID
 		}
-		bytebudget.Wait(&v.Budget, bytebudget.Waiter{ID: a.Transfer.ID, Need: a.need(d, bytes, false)})
+		bytebudget.Wait(&v.Budget, bytebudget.Waiter{ID: a.Transfer.ID, Need: a.need(d, bytes, false)}, time.Now())
 		v.Waiting[a.Transfer.ID] = &a.Transfer
 	})
 	if taken {
