--- a/internal/backend/http1/delivery.go
+++ b/internal/backend/http1/delivery.go
@@ -94,12 +94,13 @@
 
 // NewDelivery returns the delivery of a response that has not started.
 func NewDelivery(w http.ResponseWriter, a ByteAccount) *Delivery {
-	return &Delivery{Writer: w, Account: a, Started: make(chan struct{}), readable: newSignal(), progress: newSignal()}
+	return &Delivery{Writer: w, Account: a, Started: make(chan struct{})}
 }
 
 // start makes the response headers and the start of the body available to Run.
 func (d *Delivery) start(status int, h http.Header, pieces []*piece) {
 	d.status, d.header, d.pieces, d.lastProgress = status, h, pieces, time.Now()
+	d.readable, d.progress = newSignal(), newSignal() // a request that waits in a queue does without
 	for _, p := range pieces {
 		d.queuedBytes += len(p.data)
 	}
--- a/internal/transfer/transfercmd/transfercmd.go
+++ b/internal/transfer/transfercmd/transfercmd.go
@@ -27,7 +27,7 @@
 
 // Open returns the account of a new request. End must be called when the request has ended.
 func (c *Commands) Open(rank, ranks int) *Account {
-	return &Account{Commands: c, Transfer: table.Transfer{Rank: rank, Ranks: ranks, Granted: make(chan struct{}, 1)}}
+	return &Account{Commands: c, Transfer: table.Transfer{Rank: rank, Ranks: ranks}}
 }
 
 // Account is the account of the bytes that the node holds for one request. At most one goroutine may wait for bytes.
@@ -78,6 +78,7 @@
 		if a.Transfer.ID == 0 {
 			v.NextID++
 			a.Transfer.ID = v.NextID
+			a.Transfer.Granted = make(chan struct{}, 1)
 		}
 		bytebudget.Wait(&v.Budget, bytebudget.Waiter{ID: a.Transfer.ID, Need: a.need(d, bytes, false)}, time.Now())
 		v.Waiting[a.Transfer.ID] = &a.Transfer
