--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/internal/decide/notice"
 	"egretline.example/egretline/internal/decide/zoneshare"
 	"egretline.example/egretline/pkg/decide/admission"
@@ -85,6 +86,7 @@
 			p.Sharing, p.ZonePlan = sharing, zonePlan
 			p.Placing = d.placing()
 			p.TurnsAwayAtRandom = placesOf(b, service).Acceptance.Random()
+			p.MaxServerBodyBytes = d.MaxServerBodyBytes
 			pauses = pausesOf(b, service, now)
 			for _, t := range removePaused(queue, pauses, now) {
 				countsOf(q, t).Refused[admission.ServersPaused]++
@@ -94,7 +96,7 @@
 				// No server may become available before the node stops.
 				late = d.removeLate(q, queue, now)
 			}
-			for d.assignNext(now, p, q, queue, &late) {
+			for d.assignNext(now, p, q, queue, &late, maxDeferrals) {
 				q.InFlight++
 			}
 		})
@@ -175,20 +177,28 @@
 // assignNext submits one waiting request of the queue to a worker, and reports whether there was one that could be
 // assigned. It appends the requests that can no longer meet their deadline to late.
 func (d *Dispatcher) assignNext(
-	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket,
+	now time.Time, p servicePool, q *table.Queues, queue *admission.Queue[*table.Ticket], late *[]*table.Ticket, deferrals int,
 ) bool {
 	if q.InFlight >= d.Workers || !p.anyServerAvailable(now) {
 		return false
 	}
 	var chosen *table.Backend
+	var uploads []admission.Item[*table.Ticket]
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
 		chosen = chooseServer(p, i.Payload, d.AvailabilityZone, now)
+		if chosen == nil && i.Payload.BodyBytes > bytebudget.ShortBodyBytes {
+			uploads = append(uploads, i)
+		}
 		return chosen != nil
 	})
 	for _, i := range picked.Late {
 		countsOf(q, i.Payload).Late++
 		*late = append(*late, i.Payload)
 	}
+	if !picked.Found && len(uploads) > 0 && deferrals > 0 {
+		deferUploads(queue, uploads)
+		return d.assignNext(now, p, q, queue, late, deferrals-1)
+	}
 	if !picked.Found {
 		return false
 	}
@@ -197,21 +207,42 @@
 		t.Dispatched = now
 	}
 	countsOf(q, t).Attempts++
-	chosen.Outstanding++
+	takeSlot(chosen, t, now)
 	if detect.OutOfUse(&chosen.State) {
 		detect.StartTrial(&chosen.State, t.ID)
 	}
-	chosen.InFlight[t.ID] = table.InFlight{Started: now}
 	// TrySubmit cannot fail: the queue has room for every worker, and the pool closes only after all requests have ended.
 	return d.exchange.TrySubmit(newAssignment(p, t, chosen, now)) == nil
 }
 
+// maxDeferrals bounds how many uploads are deferred in one search for a request.
+const maxDeferrals = 8
+
+// deferUploads moves uploads for which no server has memory behind the other requests of their tenants, which would otherwise
+// wait for them although they fit.
+func deferUploads(queue *admission.Queue[*table.Ticket], uploads []admission.Item[*table.Ticket]) {
+	for _, i := range uploads {
+		if i.Attempt == 0 && admission.Remove(queue, i.Rank, i.ID) {
+			admission.Push(queue, i)
+		}
+	}
+}
+
+// takeSlot counts the ticket as outstanding at the server.
+func takeSlot(s *table.Backend, t *table.Ticket, now time.Time) {
+	s.Outstanding++
+	s.OutstandingBytes += t.BodyBytes
+	s.InFlight[t.ID] = table.InFlight{Started: now, BodyBytes: t.BodyBytes}
+}
+
 // servicePool holds the backend servers of one service and their load.
 type servicePool struct {
 	Servers map[string]*table.Backend
 	Sharing Sharing
 	// ZonePlan tells which requests leave the node's availability zone; nil if zones have no preference.
 	ZonePlan *zoneshare.Plan
+	// MaxServerBodyBytes is the value of Dispatcher.MaxServerBodyBytes.
+	MaxServerBodyBytes int64
 	// Backlog is the time that all slots together need to serve the waiting requests.
 	Backlog time.Duration
 	// HighLossRate reports whether the service is losing a large fraction of its requests.
@@ -305,7 +336,7 @@
 	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
 		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
-		if use == healthquery.NoUse {
+		if use == healthquery.NoUse || !p.allowsBody(s, t) {
 			continue
 		}
 		state := p.breakerState(s, t, now)
@@ -332,6 +363,11 @@
 	return p.Servers[candidates[n].Address]
 }
 
+// allowsBody reports whether the server may hold the request body of the ticket beside those that it has.
+func (p servicePool) allowsBody(s *table.Backend, t *table.Ticket) bool {
+	return bytebudget.ServerAllows(p.MaxServerBodyBytes, s.OutstandingBytes, t.BodyBytes, p.Sharing.Nodes)
+}
+
 // limitFor returns the concurrency limit of the server for the ticket. Large responses stay in their availability zone,
 // and therefore only the nodes of that zone share the server's slots for them.
 func (p servicePool) limitFor(s *table.Backend, t *table.Ticket, zone string, now time.Time) admission.Limit {
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"egretline.example/egretline/internal/decide/bytebudget"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/retry"
@@ -140,6 +141,9 @@
 	out := table.Assignment{Ticket: t, BreakerState: detect.Closed}
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
 		s := d.chooseBackup(a, b, now)
+		if s != nil && !bytebudget.ServerAllows(d.MaxServerBodyBytes, s.OutstandingBytes, t.BodyBytes, d.currentSharing().Nodes) {
+			return
+		}
 		if s == nil {
 			return
 		}
@@ -147,8 +151,7 @@
 		if !reserved {
 			return
 		}
-		s.Outstanding++
-		s.InFlight[t.ID] = table.InFlight{Started: now}
+		takeSlot(s, t, now)
 		out.Server, out.Outstanding = s.Server, s.Outstanding
 	})
 	return out, reserved
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -38,6 +38,9 @@
 	MarginDeviations float64
 	// Conns holds the node's connections. If it is nil, requests are placed by outstanding requests alone.
 	Conns WarmConns
+	// MaxServerBodyBytes bounds the request bodies outstanding at a backend server from all nodes together; zero means no
+	// bound.
+	MaxServerBodyBytes int64
 
 	exchange *pool.Pool[table.Assignment]
 	// sharing is the last value given to SetSharing.
