Let the soak have customers, one of which sends ten times its limit

Cause: the soak knew no customers.

Change: callers of the soak have the key of a customer, and four more that of a customer with a limit of 10 a second. Checked are the customer under which each request arrives, that no key is passed on, that no valid key gets 401 and no unlimited customer 429, and the limit over all servers in every window of 5 s.

--- a/test/soak/calls_test.go
+++ b/test/soak/calls_test.go
@@ -51,6 +51,7 @@
 	LeavingServer string
 	// Idempotent is true if the request may be executed more than once.
 	Idempotent bool
+	Customer   standin.Customer
 }
 
 // callRecorder collects the calls of all callers and the violations of guarantees that are found while the fleet runs.
@@ -80,12 +81,13 @@
 
 // caller sends requests one after another and keeps its connections open until the nodes close them.
 type caller struct {
-	harness *harness
-	name    string
-	rng     *rand.Rand
-	client  *http.Client
-	// timeout is how long the caller waits for a response.
-	timeout time.Duration
+	harness  *harness
+	name     string
+	rng      *rand.Rand
+	client   *http.Client
+	customer standin.Customer
+	// timeout is how long the caller waits for a response, and interval the longest time between two requests.
+	timeout, interval time.Duration
 	// bookingPath is the path of the requests that must not run twice.
 	bookingPath string
 	// entryAddresses are the addresses in the last response of the directory, cached until entriesExpireAt.
@@ -95,7 +97,8 @@
 
 func newCaller(h *harness, k int, seed uint64) *caller {
 	return &caller{
-		harness: h, name: fmt.Sprintf("c%d", k), timeout: requestTimeout, bookingPath: "/book/x", rng: rand.New(rand.NewPCG(seed, uint64(k)+2)),
+		harness: h, name: fmt.Sprintf("c%d", k), customer: shopCustomer, timeout: requestTimeout,
+		interval: 60 * time.Millisecond, bookingPath: "/book/x", rng: rand.New(rand.NewPCG(seed, uint64(k)+2)),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
 	}
 }
@@ -106,7 +109,7 @@
 		if len(c.entryAddresses) > 0 {
 			c.sendRequest(ctx, fmt.Sprintf("%s-%d", c.name, k))
 		}
-		c.harness.sleepRandom(ctx, 60*time.Millisecond)
+		c.harness.sleepRandom(ctx, c.interval)
 	}
 	c.client.CloseIdleConnections()
 }
@@ -151,7 +154,7 @@
 // sendRequest sends a random kind of request and records its outcome.
 func (c *caller) sendRequest(ctx context.Context, id string) {
 	result := call{ID: id, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Path: c.bookingPath,
-		Idempotent: false, Timeout: c.timeout}
+		Idempotent: false, Timeout: c.timeout, Customer: c.customer}
 	method, bodyBytes := http.MethodPost, 40
 	if c.rng.Float64() < longBodyFraction {
 		bodyBytes = longBodyBytes
@@ -175,6 +178,7 @@
 		r.Body = http.NoBody
 	}
 	r.Host = virtualHost
+	r.Header.Set("Authorization", "Bearer "+c.customer.Key)
 	r.Header.Set(standin.HeaderRequestID, id)
 	r.Header.Set(standin.HeaderDeadline, fmt.Sprint(c.timeout.Milliseconds()))
 	result.SentAt = time.Now()
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -57,6 +57,7 @@
 	h.checkDrain(add)
 	h.checkNotices(add)
 	h.checkRetryBudget(add)
+	h.checkCustomers(add)
 	return violated
 }
 
@@ -174,11 +175,12 @@
 	}
 }
 
-// successFraction returns the fraction of the calls sent since the time that got status 200.
+// successFraction returns the fraction of the calls sent since the time that got status 200. Calls of the limited customer are
+// left out.
 func (h *harness) successFraction(since time.Time) float64 {
 	total, succeeded := 0, 0
 	for _, c := range h.calls.snapshot() {
-		if c.SentAt.Before(since) {
+		if c.SentAt.Before(since) || c.Customer.RatePerS > 0 {
 			continue
 		}
 		total++
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -150,9 +150,11 @@
 grace = %q
 retry-ratio = 0.2
 retry-burst = 62
+quota-over = %g
+quota-slack = %d
 zone-preference = %t
 `, n.id, k%zones, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, nodeMemoryMB, gracePeriod,
-		h.zonePreference)
+		quotaOver, quotaSlack, h.zonePreference)
 	const fileMode = 0o600
 	is.New(h.t).NoErr(os.WriteFile(n.settingsPath, []byte(settings), fileMode))
 	h.nodes = append(h.nodes, n)
@@ -229,7 +231,8 @@
 			Name: fmt.Sprint("v", v), Prefix: fmt.Sprintf("/v%d/", v), Kind: "safe", Service: viewService, Priority: 1,
 		})
 	}
-	value, err := standin.Configuration(version, virtualHost, []string{deskService, viewService}, routes)
+	value, err := standin.Configuration(version, virtualHost, []string{deskService, viewService},
+		[]standin.Customer{shopCustomer, floodCustomer}, routes)
 	is.New(h.t).NoErr(err)
 	h.store.Put(standin.TopicConfig, standin.KeyConfig, value)
 }
--- a/test/soak/slow_test.go
+++ b/test/soak/slow_test.go
@@ -51,15 +51,15 @@
 // readLarge requests a large response, reads a little of it now and then, or nothing, and leaves when the context ends.
 func (c *caller) readLarge(ctx context.Context, id string, stalled bool) {
 	// The caller leaves before the response is complete, which counts like a response without end.
-	result := call{ID: id, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Idempotent: true, Flooded: true, SentAt: time.Now()}
+	result := call{ID: id, Customer: c.customer, NodeAddress: c.entryAddresses[c.rng.IntN(len(c.entryAddresses))], Idempotent: true, Flooded: true, SentAt: time.Now()}
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp4", result.NodeAddress)
 	if err != nil {
 		return
 	}
 	defer conn.Close()                                     //nolint:errcheck // the caller leaves
 	_ = conn.SetDeadline(time.Now().Add(slowReadDuration)) // a read may wait for more than a short response has
-	_, _ = fmt.Fprintf(conn, "GET /bulk%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", standin.LargeSuffix, virtualHost,
-		standin.HeaderRequestID, id, standin.HeaderDeadline, burstTimeout.Milliseconds())
+	_, _ = fmt.Fprintf(conn, "GET /bulk%s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: %d\r\n\r\n",
+		standin.LargeSuffix, virtualHost, c.customer.Key, standin.HeaderRequestID, id, standin.HeaderDeadline, burstTimeout.Milliseconds())
 	ticker := time.NewTicker(slowReadInterval)
 	defer ticker.Stop()
 	for err == nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -76,6 +76,13 @@
 	for k := range callerCount {
 		workers.Go(func() { newCaller(h, k, seed).run(callersCtx) })
 	}
+	for k := range floodCallerCount {
+		workers.Go(func() {
+			c := newCaller(h, callerCount+k, seed)
+			c.customer, c.interval = floodCustomer, 10*time.Millisecond
+			c.run(callersCtx)
+		})
+	}
 	is.NoErr(fleetproc.Await(ctx, "a call succeeds", func() bool { return h.successFraction(time.Time{}) > 0 }))
 	h.injectFaults(ctx, t)
 	h.sleep(recoveryDuration)
