--- a/test/soak/customers_test.go
+++ b/test/soak/customers_test.go
@@ -14,13 +14,13 @@
 	quotaOver   = 0.1
 	quotaSlack  = 20
 	quotaWindow = 5 * time.Second
-	// floodCallerCount is the number of callers of the limited customer; together they send about ten times its limit.
+	// floodCallerCount is the number of callers of the limited customer; together they send several times its limit.
 	floodCallerCount = 4
 )
 
 var (
 	shopCustomer  = standin.Customer{Name: "shop", Key: "key-of-the-shop"}
-	floodCustomer = standin.Customer{Name: "flood", Key: "key-of-the-flood", RatePerS: 10, Burst: 10}
+	floodCustomer = standin.Customer{Name: "flood", Key: "key-of-the-flood", RatePerS: 2, Burst: 2}
 )
 
 // checkCustomers checks under which customer requests arrived, that no key was passed on, and that the limited customer kept
