--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -21,9 +21,6 @@
 
 const (
 	readBufferBytes = 8 << 10
-	// receiveBufferBytes is the size of the kernel's receive buffer of a connection. The kernel would otherwise let it grow to
-	// several megabytes, which count toward the memory of the process while a response is not read.
-	receiveBufferBytes = 64 << 10
 	// DialTimeout is far above the round-trip time between availability zones. It is below the 1 s after which a lost SYN
 	// is retransmitted, because connecting to another backend server is faster.
 	DialTimeout = 350 * time.Millisecond
@@ -124,7 +121,6 @@
 	if !ok {
 		return nil, DialError{Address: address, Err: net.UnknownNetworkError(raw.LocalAddr().Network())}
 	}
-	_ = tcp.SetReadBuffer(receiveBufferBytes) // without it, the kernel chooses the size
 	if err := setUserTimeout(tcp); err != nil {
 		_ = tcp.Close()
 		return nil, DialError{Address: address, Err: err}
