--- a/internal/front/hostfront/memory_test.go
+++ b/internal/front/hostfront/memory_test.go
@@ -27,6 +27,8 @@
 	// smallBudget is far below what the slow callers ask for.
 	smallBudget = 8 << 20
 	largeBytes  = 1 << 20
+	// slowBufferBytes is the size of the socket buffers between a node and its slow callers.
+	slowBufferBytes = 32 << 10
 )
 
 // newServer starts a backend server that answers GET with as many bytes as the last element of the path says. It does not read
@@ -56,6 +58,9 @@
 	c, err := net.Dial("tcp4", address) //nolint:noctx // loopback
 	is.New(t).NoErr(err)
 	is.New(t).NoErr(c.SetDeadline(time.Now().Add(time.Minute))) // far beyond the timeout of the route
+	if tcp, ok := c.(*net.TCPConn); ok {
+		is.New(t).NoErr(tcp.SetReadBuffer(slowBufferBytes))
+	}
 	_, err = io.WriteString(c, text)
 	is.New(t).NoErr(err)
 	return c
--- a/internal/front/hostfront/upload_test.go
+++ b/internal/front/hostfront/upload_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -69,7 +70,12 @@
 		Traffic: discardTraffic{}, MaxBodyBytes: 1 << 20, RegistryAge: func() time.Duration { return 0 }, StartupDone: started,
 		Leaving: func() bool { return false }, Log: zerolog.Nop(),
 	})
-	s.Config.ConnContext = callerconn.NewContext
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if tcp, ok := c.(*net.TCPConn); ok && d.HeldBytes > 0 {
+			_ = tcp.SetWriteBuffer(slowBufferBytes) // the kernel would hold whole responses
+		}
+		return callerconn.NewContext(ctx, c)
+	}
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
