Bound the share that a node borrows

Borrowing.Extra grew by 25% each 250 ms without a bound while requests waited at servers that turn nothing away. After 50 s its product exceeded all integers, and the ceiling fell back to the even share on amd64; before that it took up to half a minute of rejections to return. It is now at most 64 even shares. TestBorrowingIsBounded fails without the change (1 != 8).

--- a/pkg/decide/admission/limit.go
+++ b/pkg/decide/admission/limit.go
@@ -96,6 +96,9 @@
 	// the first step that finds the servers full overfills them by little; a twentyfold share takes 3.5 s.
 	borrowStep     = 1.25
 	borrowInterval = 250 * time.Millisecond
+	// maxBorrowFactor bounds the share in even shares. Without a bound, the share of a node whose requests wait for 50 s exceeds
+	// all integers, and falls back to the even one or takes as long again to return.
+	maxBorrowFactor = 64
 	// returnStep is the factor by which the share shrinks at most each returnInterval while full servers turn requests away.
 	returnStep     = 2
 	returnInterval = 500 * time.Millisecond
@@ -131,7 +134,7 @@
 	}
 	b.LastWaiting = now
 	if !now.Before(b.PausedUntil) && now.Sub(b.LastGrown) >= borrowInterval {
-		b.Extra = (1+b.Extra)*borrowStep - 1
+		b.Extra = min((1+b.Extra)*borrowStep, maxBorrowFactor) - 1
 		b.LastGrown = now
 	}
 }
--- a/pkg/decide/admission/limit_test.go
+++ b/pkg/decide/admission/limit_test.go
@@ -165,3 +165,21 @@
 		is.Equal(b.PausedUntil, start.Add(3*firstBorrowPause))
 	})
 }
+
+// Guards against a share that overflows while requests wait at servers that turn nothing away, and that returns late.
+func TestBorrowingIsBounded(t *testing.T) {
+	is := is.New(t)
+	var b Borrowing
+	now := start
+	for range 3 * 60 * 4 {
+		now = now.Add(borrowInterval)
+		b.ObserveWaiting(now)
+	}
+	is.Equal(b.Ceiling(1, 8, 1, now), 8)
+	for range 8 {
+		now = now.Add(returnInterval)
+		b.ObserveWaiting(now)
+		b.ObserveShed(now)
+	}
+	is.Equal(b.Ceiling(1, 8, 1, now), 1)
+}
