Search a server for each waiting request once in a dispatch

popByLane searched a server for the same unfit request up to three times, as due, due by turn and late. Each search visits all servers of the service. An item that does not fit is now dropped from all lanes. TestLanesSearchOnce: 3 searches before, 1 after.

--- a/pkg/decide/admission/lanes.go
+++ b/pkg/decide/admission/lanes.go
@@ -137,6 +137,15 @@
 	inTime, late, due int
 }
 
+// drop removes the item at index k, which fits no server, from all lanes. The search for a server is expensive.
+func (t *laneTurn) drop(k int) {
+	for _, index := range []*int{&t.inTime, &t.late, &t.due} {
+		if *index == k {
+			*index = -1
+		}
+	}
+}
+
 // laneSummary describes the waiting items of a rank.
 type laneSummary struct {
 	// anyLate reports whether any item is late or due.
@@ -209,9 +218,13 @@
 
 // popFirst removes the first item that fits among the given items of the tenants, and stores it in result.
 func (r *RankQueue[T]) popFirst(turns []laneTurn, index func(laneTurn) int, fits func(Item[T]) bool, result *NextResult[T]) bool {
-	for _, t := range turns {
+	for n, t := range turns {
 		k := index(t)
-		if k < 0 || fits != nil && !fits(r.Tenants[t.tenant][k]) {
+		if k < 0 {
+			continue
+		}
+		if fits != nil && !fits(r.Tenants[t.tenant][k]) {
+			turns[n].drop(k)
 			continue
 		}
 		result.Item, result.Found = r.removeAt(t.tenant, k), true
--- a/pkg/decide/admission/lanes_test.go
+++ b/pkg/decide/admission/lanes_test.go
@@ -178,3 +178,19 @@
 		is.Equal(Waiting(q), 1)
 	})
 }
+
+// Guards against a dispatch that searches a server for the same request in each lane.
+func TestLanesSearchOnce(t *testing.T) {
+	q := standingQueue()
+	Push(q, laneItem(0, "short", 5500*time.Millisecond)) // due, and the first of the late ones
+	Push(q, laneItem(1, "short", 0))
+	q.Ranks[0].DueTurns = maxDueTurns
+	searches := map[int]int{}
+	result := Next(q, start, func(i Item[int]) bool {
+		searches[i.Payload]++
+		return false
+	})
+	is := is.New(t)
+	is.True(!result.Found)
+	is.Equal(searches, map[int]int{0: 1, 1: 1})
+}
