Spend no retry budget on requests whose latest start has passed

Patience.Release ran before Expire and took the first item if none was in time, also one that can no longer meet its deadline. The queue then drops it, and the withdrawal is lost. The new subtest of TestPatience fails without the change.

--- a/pkg/decide/retry/patience.go
+++ b/pkg/decide/retry/patience.go
@@ -140,15 +140,17 @@
 // goes first, by rank.
 func (p *Patience[T]) Release(b *Budget, now time.Time) []Waiting[T] {
 	var released []Waiting[T]
-	for len(p.Items) > 0 && TryWithdraw(b) {
+	for {
 		k := p.next(now)
+		if k < 0 || !TryWithdraw(b) {
+			return released
+		}
 		released = append(released, p.Items[k])
 		p.Items = slices.Delete(p.Items, k, k+1)
 	}
-	return released
 }
 
-// next returns the index of the request that is sent next, or -1 if none waits. Of the requests of a rank that can be in
+// next returns the index of the request that is sent next, or -1 if none can still be sent. Of the requests of a rank that can be in
 // time, the newest is sent first: when the budget is short, the oldest would reach servers only after their objective. What
 // can no longer be in time is sent in order of its latest start.
 func (p *Patience[T]) next(now time.Time) int {
@@ -161,8 +163,8 @@
 			best = k
 		}
 	}
-	if best < 0 && len(p.Items) > 0 {
-		return 0
+	if best < 0 {
+		return slices.IndexFunc(p.Items, func(w Waiting[T]) bool { return !now.After(w.LatestStart) })
 	}
 	return best
 }
