Use servers that got no request for requests that are not idempotent

Only idempotent requests visit unused servers, and warm connections are preferred to all others. A service without idempotent requests and with little load used one of its three servers for good, and servers that joined got nothing. A server without any result is now due for any first attempt from 3 s after it joined.

--- a/pkg/dispatchcmd/placing.go
+++ b/pkg/dispatchcmd/placing.go
@@ -17,6 +17,9 @@
 	// dueAfter is the time without a result after which a server is due. The floor of a service, of which a service that
 	// loses requests has to keep a share in use, is evaluated over two seconds.
 	dueAfter = 1500 * time.Millisecond
+	// firstUseAfter is the age from which a server that got no request is due for requests that are not idempotent as well.
+	// A service may have no others.
+	firstUseAfter = 2 * dueAfter
 	// turnedAwayMemory is the time after a server turned a request away in which its warm connection is no advantage. It
 	// answers at once, and would otherwise get the next request as well.
 	turnedAwayMemory = time.Second
@@ -75,6 +78,7 @@
 		if pool.TurnsAwayAtRandom || now.Sub(s.Limit.LastShed) >= turnedAwayMemory {
 			c.Warmth = p.warmth(c.Address, t.Idempotent, now)
 		}
+		mayVisit := mayVisit || t.Attempt == 0 && s.State.LastRequestResult.IsZero() && now.Sub(s.FirstSeen) >= firstUseAfter
 		c.Due = mayVisit && !c.Probation && !c.BreakerOpen && isDue(s, c.Slowness, pool, now)
 	}
 }
--- a/pkg/dispatchcmd/placing_test.go
+++ b/pkg/dispatchcmd/placing_test.go
@@ -193,3 +193,19 @@
 	t.Logf("%d of 40 servers used in two seconds", len(used))
 	is.New(t).True(len(used) >= 28) // the floor of 0.7
 }
+
+// Guards against a service without idempotent requests that uses its warm servers only.
+func TestFirstUse(t *testing.T) {
+	runInBubble(t, 8, 3, func(is *is.I, f *fixture) {
+		conns := &fakeConns{idle: map[string]time.Time{}, sent: map[string]int{}}
+		f.Conns = conns
+		for range 60 {
+			one := f.ticket("a", 5*time.Second, nil)
+			one.Idempotent = false
+			one.Runner = &placedRunner{conns: conns}
+			f.roundTrip(one)
+		}
+		is.Equal(len(conns.sent), 3)
+		is.True(conns.opened <= 4)
+	})
+}
