Send backup attempts to no server because it is due for a visit

chooseBackup has no sharing, so every unused server counted as due at every node, and was preferred to one with a warm connection. The new subtest of TestBackup fails without the change (s2 instead of s1).

--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -173,6 +173,9 @@
 		})
 	}
 	p.Placing.describe(candidates, p, a.Ticket, now)
+	for n := range candidates {
+		candidates[n].Due = false // a backup attempt has no time to find out whether an unused server is fast
+	}
 	n := admission.Choose(candidates, a.Ticket.ID, nil)
 	if n < 0 {
 		return nil
--- a/pkg/dispatchcmd/backup_test.go
+++ b/pkg/dispatchcmd/backup_test.go
@@ -85,6 +85,18 @@
 			assertAnswered(t, f, one, record, 3*time.Second, 2)
 		})
 	})
+	// Guards against backup attempts at all nodes that go to a server because it was not used for some time.
+	t.Run("a backup goes to a server with a warm connection", func(t *testing.T) {
+		runInBubble(t, 8, 3, func(is *is.I, f *fixture) {
+			f.Conns = &fakeConns{idle: map[string]time.Time{"s0": time.Now().Add(-time.Second), "s1": time.Now()}}
+			one, record := f.backupTicket(map[string]time.Duration{"s0": time.Minute, "s1": time.Second, "s2": time.Second}, nil)
+			f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+				b.Services[service]["s1"].State.LastRequestResult = time.Now().Add(time.Second)
+			})
+			f.roundTrip(one)
+			is.Equal(record.sent, []string{"s0", "s1"})
+		})
+	})
 	// Guards against canceling a request that is slow on every server: canceled after half of its time, it never
 	// completes.
 	t.Run("a long request is answered by its first server", func(t *testing.T) {
