Keep the bytes of a server exact, defer uploads only past others, and sort servers once

- A server that started anew kept its outstanding requests but not their bytes; the count went below zero for good, and callers that use a request ID twice left bytes behind.
The bytes are kept, and each attempt returns those of its ticket.
- An upload that fits no server, alone in its tenant's queue, was moved behind itself eight times, with a search for all waiting requests each time, and restarted the clock of the standing queue.
TestDeferUploads.
- The addresses of a service were sorted for each search, and a release without waiting requests built a pool of all servers.
- What is known of a service's places and latencies goes with the service.

--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -82,6 +82,9 @@
 			}
 			admission.Configure(queue, ranks, slots+raisedSlots(servers, zonePlan, sharing, now), trialServers)
 			queue.MarginDeviations = d.MarginDeviations
+			if admission.Waiting(queue) == 0 {
+				return
+			}
 			p := newServicePool(servers, queue, b.Health[service], now)
 			p.Sharing, p.ZonePlan = sharing, zonePlan
 			p.Placing = d.placing()
@@ -195,8 +198,7 @@
 		countsOf(q, i.Payload).Late++
 		*late = append(*late, i.Payload)
 	}
-	if !picked.Found && len(uploads) > 0 && deferrals > 0 {
-		deferUploads(queue, uploads)
+	if !picked.Found && deferrals > 0 && deferUploads(queue, uploads) {
 		return d.assignNext(now, p, q, queue, late, deferrals-1)
 	}
 	if !picked.Found {
@@ -219,26 +221,31 @@
 const maxDeferrals = 8
 
 // deferUploads moves uploads for which no server has memory behind the other requests of their tenants, which would otherwise
-// wait for them although they fit.
-func deferUploads(queue *admission.Queue[*table.Ticket], uploads []admission.Item[*table.Ticket]) {
+// wait for them although they fit. It reports whether there were such requests.
+func deferUploads(queue *admission.Queue[*table.Ticket], uploads []admission.Item[*table.Ticket]) (moved bool) {
 	for _, i := range uploads {
-		if i.Attempt == 0 && admission.Remove(queue, i.Rank, i.ID) {
+		alone := len(queue.Ranks[i.Rank].Tenants[i.Tenant]) == 1
+		if i.Attempt == 0 && !alone && admission.Remove(queue, i.Rank, i.ID) {
 			admission.Push(queue, i)
+			moved = true
 		}
 	}
+	return moved
 }
 
 // takeSlot counts the ticket as outstanding at the server.
 func takeSlot(s *table.Backend, t *table.Ticket, now time.Time) {
 	s.Outstanding++
 	s.OutstandingBytes += t.BodyBytes
-	s.InFlight[t.ID] = table.InFlight{Started: now, BodyBytes: t.BodyBytes}
+	s.InFlight[t.ID] = table.InFlight{Started: now}
 }
 
 // servicePool holds the backend servers of one service and their load.
 type servicePool struct {
 	Servers map[string]*table.Backend
-	Sharing Sharing
+	// Addresses holds the keys of Servers in order.
+	Addresses []string
+	Sharing   Sharing
 	// ZonePlan tells which requests leave the node's availability zone; nil if zones have no preference.
 	ZonePlan *zoneshare.Plan
 	// MaxServerBodyBytes is the value of Dispatcher.MaxServerBodyBytes.
@@ -257,7 +264,10 @@
 func newServicePool(
 	servers map[string]*table.Backend, queue *admission.Queue[*table.Ticket], h *table.ServiceHealth, now time.Time,
 ) servicePool {
-	p := servicePool{Servers: servers, Backlog: admission.Backlog(queue), HighLossRate: healthquery.HasHighLoss(h, now)}
+	p := servicePool{
+		Servers: servers, Addresses: slices.Sorted(maps.Keys(servers)), Backlog: admission.Backlog(queue),
+		HighLossRate: healthquery.HasHighLoss(h, now),
+	}
 	outstanding, limit := 0, 0
 	for _, s := range servers {
 		if !s.Leaving && detect.BreakerStateOf(&s.State, false, now) == detect.Closed {
@@ -333,7 +343,7 @@
 	candidates := make([]admission.Server, 0, len(p.Servers))
 	skipOpen := canWaitForClosed(p, t, now)
 	preference := p.zonePreferenceOf(t, zone, now)
-	for _, address := range slices.Sorted(maps.Keys(p.Servers)) {
+	for _, address := range p.Addresses {
 		s := p.Servers[address]
 		use := healthquery.UseOf(s, t.Idempotent, t.Attempt, now)
 		if use == healthquery.NoUse || !p.allowsBody(s, t) {
--- a/pkg/dispatchcmd/bodies_test.go
+++ b/pkg/dispatchcmd/bodies_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/matryer/is"
 
+	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
+	"egretline.example/egretline/pkg/healthcmd"
 	"egretline.example/egretline/pkg/table"
 )
 
@@ -51,3 +53,41 @@
 		is.Equal(sum, int64(0))
 	})
 }
+
+// Guards against an upload alone in its tenant's queue that restarts the time for which the queue counts as standing, and lets
+// all waiting requests be searched again, each time that it fits no server.
+func TestDeferUploads(t *testing.T) {
+	is := is.New(t)
+	since := time.Unix(1, 0)
+	queue := &admission.Queue[*table.Ticket]{WaitingSince: since}
+	upload := admission.Item[*table.Ticket]{ID: "upload", Tenant: "a"}
+	uploads := []admission.Item[*table.Ticket]{upload}
+	admission.Push(queue, upload)
+	is.True(!deferUploads(queue, uploads))
+	is.Equal(queue.WaitingSince, since)
+	admission.Push(queue, admission.Item[*table.Ticket]{ID: "small", Tenant: "a"})
+	is.True(deferUploads(queue, uploads))
+	is.Equal(admission.Next(queue, since, nil).Late[0].ID, "small")
+}
+
+// Guards against a count of bytes that drifts when a server starts anew, or callers use a request ID twice, while requests are
+// outstanding: the server would get too many uploads, or none, for good.
+func TestServerBodiesOfNewRun(t *testing.T) {
+	runInBubble(t, 10, 1, func(is *is.I, f *fixture) {
+		tickets := make([]*table.Ticket, 2)
+		for n := range tickets {
+			tickets[n] = f.ticket("a", 10*time.Second, &fakeRunner{})
+			tickets[n].ID, tickets[n].BodyBytes = "same", 1000
+		}
+		wait := f.start(tickets...)
+		synctest.Wait()
+		c := f.configuration()
+		c.Services[service].BackendServers[0].Instance = "next"
+		f.Health.(*healthcmd.Commands).Sync(time.Now(), c)
+		sum, _ := f.outstandingBytes()
+		is.Equal(sum, int64(2000))
+		wait()
+		sum, _ = f.outstandingBytes()
+		is.Equal(sum, int64(0))
+	})
+}
--- a/pkg/healthcmd/refused_test.go
+++ b/pkg/healthcmd/refused_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"egretline.example/egretline/internal/decide/speed"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -53,3 +54,17 @@
 		assertUse(t, f, healthquery.NoUse, detect.Closed)
 	})
 }
+
+// Guards against what is known of services that are gone and stays for good.
+func TestRemovedServiceIsForgotten(t *testing.T) {
+	b := table.Backends{
+		Services: map[string]map[string]*table.Backend{"gone": {}},
+		Health:   map[string]*table.ServiceHealth{"gone": {}},
+		Places:   map[string]*table.ServicePlaces{"gone": {}, "kept": {}},
+		Typical:  map[table.ServiceRoute]*speed.Typical{{Service: "gone", Route: "r"}: {}, {Service: "kept", Route: "r"}: {}},
+	}
+	deleteDrained(&b, "gone")
+	is := is.New(t)
+	is.Equal(len(b.Places), 1)
+	is.Equal(len(b.Typical), 1)
+}
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -1,8 +1,10 @@
 package healthcmd
 
 import (
+	"maps"
 	"time"
 
+	"egretline.example/egretline/internal/decide/speed"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
@@ -69,7 +71,7 @@
 	s := &table.Backend{FirstSeen: now, InFlight: map[string]table.InFlight{}}
 	if previous != nil {
 		s.InFlight = previous.InFlight
-		s.Outstanding = previous.Outstanding
+		s.Outstanding, s.OutstandingBytes = previous.Outstanding, previous.OutstandingBytes
 	}
 	if poolKnown {
 		s.State.JoinedAt = now
@@ -100,5 +102,7 @@
 	if len(b.Services[name]) == 0 {
 		delete(b.Services, name)
 		delete(b.Health, name)
+		delete(b.Places, name)
+		maps.DeleteFunc(b.Typical, func(r table.ServiceRoute, _ *speed.Typical) bool { return r.Service == name })
 	}
 }
