--- a/pkg/decide/retry/patience_test.go
+++ b/pkg/decide/retry/patience_test.go
@@ -50,11 +50,11 @@
 	})
 	t.Run("the budget pays for no request whose latest start has passed", func(t *testing.T) {
 		p, b := newPatience(), &Budget{Balance: 1, Params: params}
-		p.Add(waiting("over", 0, -time.Second, -1), start)
-		assertReleased(t, p, b, 0)
-		p.Add(waiting("late", 0, -time.Second, time.Second), start)
-		assertReleased(t, p, b, 0, "late")
-		is.New(t).Equal(len(p.Expire(start)), 1)
+		p.Add(waiting("over", 0, -time.Second, time.Second), start)
+		assertReleased(t, p, b, time.Second+1)
+		p.Add(waiting("late", 0, -time.Second, 2*time.Second), start)
+		assertReleased(t, p, b, time.Second+1, "late")
+		is.New(t).Equal(len(p.Expire(start.Add(time.Second+1))), 1)
 	})
 	t.Run("a request that the budget cannot pay for before its deadline is refused at once", func(t *testing.T) {
 		p, b := newPatience(), &Budget{Params: params}
