Describe only servers with a free slot when a request's server is chosen

Each search described all servers (speed, connections, lock of the connections) and allocated a candidate for each, also full ones, for each tenant's waiting request at each end of an attempt. The choice is the same. TestChooseBesideFullServers.

--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -340,8 +340,9 @@
 
 // chooseServer returns the server for the ticket, or nil if the ticket has to wait.
 func chooseServer(p servicePool, t *table.Ticket, zone string, now time.Time) *table.Backend {
-	candidates := make([]admission.Server, 0, len(p.Servers))
+	var candidates []admission.Server
 	skipOpen := canWaitForClosed(p, t, now)
+	var full *admission.Server
 	preference := p.zonePreferenceOf(t, zone, now)
 	for _, address := range p.Addresses {
 		s := p.Servers[address]
@@ -349,6 +350,11 @@
 		if use == healthquery.NoUse || !p.allowsBody(s, t) {
 			continue
 		}
+		limit := p.limitFor(s, t, zone, now)
+		isFull := !limit.Allows(s.Outstanding)
+		if isFull && full != nil {
+			continue
+		}
 		state := p.breakerState(s, t, now)
 		if state == detect.Open && skipOpen || state == detect.HalfOpen && s.Outstanding > 0 {
 			continue
@@ -358,14 +364,28 @@
 		if !allowed && (state != detect.HalfOpen || !p.allowsEarlyTrial(t) && !detect.SharesTrials(&s.State)) {
 			continue
 		}
+		if isFull {
+			full = &admission.Server{Address: address, Outstanding: s.Outstanding, Limit: limit}
+			continue
+		}
 		trial := use == healthquery.TrialUse || state == detect.HalfOpen && t.Idempotent && t.Attempt == 0
+		if candidates == nil {
+			candidates = make([]admission.Server, 0, len(p.Addresses)+1)
+		}
 		candidates = append(candidates, admission.Server{
-			Address: address, Outstanding: s.Outstanding, Limit: p.limitFor(s, t, zone, now), TrialDue: trial,
+			Address: address, Outstanding: s.Outstanding, Limit: limit, TrialDue: trial,
 			BreakerOpen: state == detect.Open, LoadPenalty: penalty + stallingPenalty(s, state, now),
 			Probation: state == detect.HalfOpen,
 		})
 	}
+	if len(candidates) == 0 {
+		return nil
+	}
 	p.Placing.describe(candidates, p, t, now)
+	if full != nil {
+		// A request is not sent again to the same server while there is another one, and one full server tells that.
+		candidates = append(candidates, *full)
+	}
 	n := admission.Choose(candidates, t.ID, t.TriedAddresses)
 	if n < 0 {
 		return nil
--- a/pkg/dispatchcmd/placing_test.go
+++ b/pkg/dispatchcmd/placing_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
@@ -209,3 +210,39 @@
 		is.True(conns.opened <= 4)
 	})
 }
+
+// Guards against a search of a server that describes full servers as well: in a surge it runs for each waiting request, and
+// nearly all servers are full. The server of the last attempt stays excluded while the others are full.
+func TestChooseBesideFullServers(t *testing.T) {
+	runInBubble(t, 8, 20, func(is *is.I, f *fixture) {
+		asked := &countingConns{}
+		f.Tables.Backends.Write(guard.Held{}, func(_ guard.Held, b *table.Backends) {
+			servers := b.Services[service]
+			updateLimits(servers, 1, 0, admission.Borrowing{}, time.Now())
+			for address, s := range servers {
+				if address != "s0" {
+					s.Outstanding = 2
+				}
+			}
+			p := newServicePool(servers, &admission.Queue[*table.Ticket]{}, b.Health[service], time.Now())
+			p.Placing.Conns = asked
+			one := f.ticket("a", time.Second, nil)
+			is.Equal(chooseServer(p, one, "", time.Now()).Server.Address, "s0")
+			is.True(asked.count <= 2) // of s0 alone
+			one.TriedAddresses = []string{"s0"}
+			is.Equal(chooseServer(p, one, "", time.Now()), nil)
+			for _, s := range servers {
+				s.Outstanding = 0
+			}
+		})
+		f.roundTrip(f.ticket("a", time.Minute, &fakeRunner{})) // assertSettled expects a queue
+	})
+}
+
+// countingConns counts the questions for warm connections.
+type countingConns struct{ count int }
+
+func (c *countingConns) HasWarm(string, bool, time.Time) bool {
+	c.count++
+	return false
+}
