Count the bytes of responses without length, not their pieces

Cause: since responses are buffered in pieces, the size of a response of unknown length was the number of its pieces (8 instead of 262144 bytes), which the traffic between availability zones is counted and planned with. Change: sum up the lengths of the pieces. Result: TestExchangedBytes fails before and passes after, with -race.

--- a/internal/backend/http1/delivery_test.go
+++ b/internal/backend/http1/delivery_test.go
@@ -216,3 +216,15 @@
 		assertReturned(t, account)
 	})
 }
+
+// TestExchangedBytes guards against responses without length that count as nothing in the traffic between availability zones.
+func TestExchangedBytes(t *testing.T) {
+	for framing, want := range map[string]int64{"length": 1_500_000, "chunks": maxBufferedResponseBytes, "close": maxBufferedResponseBytes} {
+		t.Run(framing, func(t *testing.T) {
+			b := newTestBackend(t, cutServer(framedResponse(framing, longBody(1_500_000))))
+			e, _ := newLongExchange(hostBytes, httptest.NewRecorder())
+			defer e.Discard()
+			is.New(t).Equal(e.Send(t.Context(), b.Server).Bytes, want)
+		})
+	}
+}
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -132,7 +132,16 @@
 func (e *Exchange) exchangedBytes() int64 {
 	n := max(int64(len(e.BufferedBody)), e.Request.ContentLength)
 	if e.response != nil {
-		n += max(int64(len(e.buffered)), e.response.ContentLength)
+		n += max(e.bufferedBytes(), e.response.ContentLength)
+	}
+	return n
+}
+
+// bufferedBytes returns the length of the start of the response body.
+func (e *Exchange) bufferedBytes() int64 {
+	var n int64
+	for _, p := range e.buffered {
+		n += int64(len(p.data))
 	}
 	return n
 }
@@ -415,11 +424,7 @@
 	h := e.response.Header.Clone()
 	header.RemoveHopByHop(h)
 	if e.fullyBuffered && h.Get("Content-Length") == "" && e.Request.Method != http.MethodHead {
-		length := 0
-		for _, p := range e.buffered {
-			length += len(p.data)
-		}
-		h.Set("Content-Length", strconv.Itoa(length))
+		h.Set("Content-Length", strconv.FormatInt(e.bufferedBytes(), 10))
 	}
 	return h
 }
