Keep bytes at servers and deferred uploads right across restarts and equal IDs

Cause: a server that restarted kept its outstanding requests but not the bytes of their bodies, which then became negative and let uploads exceed the bound; of two requests with one ID at a server the bytes of one stayed counted for good; deferring an upload removed any waiting request with its ID, which put one ticket into the queue twice and lost the other; uploads were deferred also without a bound, or while only slots were missing, and the queue then counted as empty for a moment. Change: carry the bytes over, give back the bytes of the ticket, defer by ticket, only for lack of memory, and keep WaitingSince.

--- a/pkg/dispatchcmd/assign.go
+++ b/pkg/dispatchcmd/assign.go
@@ -186,7 +186,7 @@
 	var uploads []admission.Item[*table.Ticket]
 	picked := admission.Next(queue, now, func(i admission.Item[*table.Ticket]) bool {
 		chosen = chooseServer(p, i.Payload, d.AvailabilityZone, now)
-		if chosen == nil && i.Payload.BodyBytes > bytebudget.ShortBodyBytes {
+		if chosen == nil && waitsForMemory(p, i.Payload, d.AvailabilityZone, now) {
 			uploads = append(uploads, i)
 		}
 		return chosen != nil
@@ -221,18 +221,33 @@
 // deferUploads moves uploads for which no server has memory behind the other requests of their tenants, which would otherwise
 // wait for them although they fit.
 func deferUploads(queue *admission.Queue[*table.Ticket], uploads []admission.Item[*table.Ticket]) {
+	since := queue.WaitingSince
 	for _, i := range uploads {
-		if i.Attempt == 0 && admission.Remove(queue, i.Rank, i.ID) {
-			admission.Push(queue, i)
+		if i.Attempt > 0 {
+			continue
+		}
+		// Callers choose the IDs, and another request with the same one may wait.
+		for _, moved := range admission.RemoveAll(queue, func(o admission.Item[*table.Ticket]) bool { return o.Payload == i.Payload }) {
+			admission.Push(queue, moved)
 		}
 	}
+	queue.WaitingSince = since // also if the queue was empty in between
+}
+
+// waitsForMemory reports whether the ticket would get a server if the servers had memory for its body.
+func waitsForMemory(p servicePool, t *table.Ticket, zone string, now time.Time) bool {
+	if p.MaxServerBodyBytes <= 0 || t.BodyBytes <= bytebudget.ShortBodyBytes {
+		return false
+	}
+	p.MaxServerBodyBytes = 0
+	return chooseServer(p, t, zone, now) != nil
 }
 
 // takeSlot counts the ticket as outstanding at the server.
 func takeSlot(s *table.Backend, t *table.Ticket, now time.Time) {
 	s.Outstanding++
 	s.OutstandingBytes += t.BodyBytes
-	s.InFlight[t.ID] = table.InFlight{Started: now, BodyBytes: t.BodyBytes}
+	s.InFlight[t.ID] = table.InFlight{Started: now}
 }
 
 // servicePool holds the backend servers of one service and their load.
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -187,7 +187,7 @@
 		updateLimit(b, s, a, r.Evidence, now)
 		observeSpeed(b, s, a, r, now)
 		s.Outstanding--
-		s.OutstandingBytes -= s.InFlight[a.Ticket.ID].BodyBytes
+		s.OutstandingBytes -= a.Ticket.BodyBytes
 		delete(s.InFlight, a.Ticket.ID)
 	}
 }
--- a/pkg/healthcmd/sync.go
+++ b/pkg/healthcmd/sync.go
@@ -69,7 +69,7 @@
 	s := &table.Backend{FirstSeen: now, InFlight: map[string]table.InFlight{}}
 	if previous != nil {
 		s.InFlight = previous.InFlight
-		s.Outstanding = previous.Outstanding
+		s.Outstanding, s.OutstandingBytes = previous.Outstanding, previous.OutstandingBytes
 	}
 	if poolKnown {
 		s.State.JoinedAt = now
--- a/pkg/table/backend.go
+++ b/pkg/table/backend.go
@@ -103,8 +103,6 @@
 // InFlight is a request that a backend server has not completed.
 type InFlight struct {
 	Started time.Time
-	// BodyBytes is the length of the request body.
-	BodyBytes int64
 	// Responded reports whether the response headers have arrived. After that, the age of the request does not indicate
 	// a stall.
 	Responded bool
