End the wait for a short request body at the timeout of its route

Cause: a caller that stalls within its body was answered at its own deadline, also where the timeout of the route is shorter (9 s instead of 4 s in the test); the request could not be sent any more by then. Change: the read deadline is the response deadline.

--- a/internal/front/hostfront/body.go
+++ b/internal/front/hostfront/body.go
@@ -74,10 +74,11 @@
 	return nil
 }
 
-// readStart reads the part of the body that is buffered. A caller that stalls gives back its bytes at its deadline.
+// readStart reads the part of the body that is buffered. A caller that stalls gives back its bytes at
+// its deadline or the timeout of the route, after which the request would be refused anyway.
 func (h *Handler) readStart(w http.ResponseWriter, r *http.Request, body io.Reader, req *request) error {
 	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(req.CallerDeadline); err != nil {
+	if err := control.SetReadDeadline(req.ResponseDeadline); err != nil {
 		h.Log.Debug().Err(err).Str("request-id", req.ID).Msg("cannot set read deadline of caller connection")
 	}
 	known := min(max(r.ContentLength, 0), maxBufferedRequestBytes)
--- a/internal/front/hostfront/memory_test.go
+++ b/internal/front/hostfront/memory_test.go
@@ -179,18 +179,28 @@
 
 // TestStalledBody guards against a caller that stops in the middle of a short body and holds its bytes for good.
 func TestStalledBody(t *testing.T) {
-	d := &fakeDispatcher{}
-	withFixture(t, d, func(t *testing.T, f *fixture) {
-		f.finishStartup()
-		_, err := io.WriteString(f.caller,
-			"PUT /book/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nDeadline: 2000\r\nContent-Length: 1000\r\n\r\nhalf")
-		is.New(t).NoErr(err)
-		response, err := http.ReadResponse(f.reader, nil)
-		is.New(t).NoErr(err)
-		assertStatus(t, response, http.StatusRequestTimeout)
-		_, _ = io.Copy(io.Discard, response.Body)
-		is.New(t).Equal(len(d.Admitted), 0)
-	})
+	for _, c := range []struct {
+		deadlineMs string
+		want       time.Duration
+	}{
+		{"2000", 2 * time.Second},
+		{"9000", 4 * time.Second}, // the timeout of the route
+	} {
+		d := &fakeDispatcher{}
+		withFixture(t, d, func(t *testing.T, f *fixture) {
+			f.finishStartup()
+			started := time.Now()
+			_, err := io.WriteString(f.caller,
+				"PUT /book/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nDeadline: "+c.deadlineMs+"\r\nContent-Length: 1000\r\n\r\nhalf")
+			is.New(t).NoErr(err)
+			response, err := http.ReadResponse(f.reader, nil)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(time.Since(started), c.want)
+			assertStatus(t, response, http.StatusRequestTimeout)
+			_, _ = io.Copy(io.Discard, response.Body)
+			is.New(t).Equal(len(d.Admitted), 0)
+		})
+	}
 }
 
 // TestLargeResponseRefused guards against large downloads that are queued while the node may hold no more, and against a
