Require keys while no customer has one

A configuration whose customers lose their last keys decoded to an empty map, which identifyCustomer took for a configuration without customers: every request was served without a key, and keys were passed on to backend servers. Now only a nil map means that no key is required.

--- a/internal/front/hostfront/customer_test.go
+++ b/internal/front/hostfront/customer_test.go
@@ -91,6 +91,15 @@
 			})
 		}
 	})
+	// Guards against a configuration that becomes open to all, and passes keys on, when its customers lose their last keys.
+	t.Run("without any valid key all keys are unknown", func(t *testing.T) {
+		d := &fakeDispatcher{}
+		withCustomers(t, d, &fakeLimiter{}, func(t *testing.T, f *fixture) {
+			clear(f.Config.Configuration.Tenants)
+			assertStatus(t, f.get(t, "/book/1", "Request-Id: r1", "Authorization: Bearer old"), http.StatusUnauthorized)
+			is.New(t).Equal(len(d.Admitted), 0)
+		})
+	})
 	t.Run("a route that is open to all needs no key", func(t *testing.T) {
 		d := &fakeDispatcher{Result: table.Result{Outcome: fleet.NotRun}}
 		withCustomers(t, d, &fakeLimiter{}, func(t *testing.T, f *fixture) {
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -149,8 +149,8 @@
 	Routes []Route
 	// RouteIndex maps the key of a route to its position in Routes.
 	RouteIndex map[RouteKey]int
-	// Tenants is keyed by TokenSHA256. A tenant with several tokens has one entry for each of them. If it is empty, the
-	// entry hosts require no key.
+	// Tenants is keyed by TokenSHA256. A tenant with several tokens has one entry for each of them. If it is nil, the entry
+	// hosts require no key. If it is empty, all tenants have lost their tokens, and no key is valid.
 	Tenants map[string]Tenant
 	// Problems lists the conflicts and missing definitions that merging found across files.
 	Problems []Problem
