Tell hosts after a partition what customers used meanwhile

dropReported forgot a changed customer once the entry hosts in touch had been told. A host that returned from a partition was sent an empty report instead, and gave back what it had charged for the sender. TestUseDuringPartitionIsReportedAfterwards failed before: 0 requests known, 109 accepted.

--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -290,7 +290,7 @@
 				b.ForgetUnknown(now, q.Tolerance)
 			}
 		}
-		dropReported(q, ids)
+		dropReported(q)
 		if now.Sub(q.SweptAt) >= bucketSweepInterval {
 			q.SweptAt = now
 			ended = sweepBuckets(q, now)
@@ -310,11 +310,14 @@
 	}
 }
 
-// dropReported forgets which customers have changed once all entry hosts were told.
-func dropReported(q *table.Quotas, entryHosts []string) {
+// dropReported forgets which customers have changed once all hosts that may be told were told. Hosts that are cut off have
+// to be told later.
+func dropReported(q *table.Quotas) {
 	delivered := q.Sequence
-	for _, id := range entryHosts {
-		delivered = min(delivered, q.Membership.Host(id).Delivered)
+	for _, h := range q.Membership.Hosts {
+		if !h.EntryUntil.IsZero() {
+			delivered = min(delivered, h.Delivered)
+		}
 	}
 	for name := range q.Unreported {
 		if q.Buckets[name].Changed <= delivered {
