Keep what a customer has used while it has no keys

Adopt dropped the buckets of customers without any key, so that a customer whose keys were taken away and replaced had a full bucket again. Reports about such a customer are charged meanwhile.

--- a/internal/customer/quotacmd/calm_test.go
+++ b/internal/customer/quotacmd/calm_test.go
@@ -96,3 +96,20 @@
 	f.run(time.Second)
 	is.Equal(f.Refused, before)
 }
+
+// Guards against a customer that gets a full bucket because all its keys were replaced in two steps.
+func TestKeysReplaced(t *testing.T) {
+	f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 100, Burst: 300}, 1)
+	f.setDemand(1000, 1)
+	f.run(3 * time.Second)
+	f.revision++
+	for _, h := range f.Hosts {
+		h.Adopt(f.Now, &fleet.Configuration{Revision: f.revision})
+	}
+	f.setDemand(0, 1)
+	f.run(500 * time.Millisecond)
+	f.setLimit(f.Limit)
+	f.setDemand(1000, 1)
+	f.run(5 * time.Second)
+	assertBound(t, f)
+}
--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -53,10 +53,12 @@
 	return &Commands{Tables: t, Logger: logger}
 }
 
-// Adopt takes the limits from the configuration. It drops the state of customers without a limit.
+// Adopt takes the limits from the configuration. It drops the state of customers without a limit. That of customers whose
+// keys were all taken away is kept, because they would otherwise have a full bucket when they get new keys.
 func (c *Commands) Adopt(now time.Time, config *fleet.Configuration) {
-	limits := map[string]fleet.Quota{}
+	limits, unlimited := map[string]fleet.Quota{}, map[string]bool{}
 	for _, t := range config.Tenants {
+		unlimited[t.Name] = t.Quota.RequestsPerSecond <= 0
 		if t.Quota.RequestsPerSecond > 0 {
 			limits[t.Name] = t.Quota
 		}
@@ -67,12 +69,11 @@
 		}
 		q.Limits, q.Revision = limits, config.Revision
 		for name, b := range q.Buckets {
-			limit, limited := limits[name]
-			if !limited {
+			if unlimited[name] {
 				drop(q, name)
-				continue
+			} else if limit, limited := limits[name]; limited {
+				b.SetQuota(now, limit, q.Tolerance)
 			}
-			b.SetQuota(now, limit, q.Tolerance)
 		}
 	})
 }
@@ -238,11 +239,12 @@
 			h.LeavingSince = now
 		}
 		for _, t := range r.Customers.Customers {
-			limit, limited := q.Limits[t.Name]
-			if !limited {
+			b, known := q.Buckets[t.Name]
+			if limit, limited := q.Limits[t.Name]; !known && limited {
+				b = bucket(q, now, t.Name, limit)
+			} else if !known {
 				continue
 			}
-			b := bucket(q, now, t.Name, limit)
 			b.ActiveAt = now
 			b.Confirm(now, r.From.ID, arrival)
 			u := quota.Usage{Incarnation: r.Incarnation, Since: t.Since, Used: t.Used, Level: t.Level}
