Leave customers with long names out of reports

A receiver rejects a report with a name above 128 bytes as a whole, while the sender takes it as delivered: one such customer ended the exchange for all. TestLongName fails without the change. Hosts have equal parts of that limit instead.

--- a/internal/customer/quotacmd/calm_test.go
+++ b/internal/customer/quotacmd/calm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,3 +114,16 @@
 	f.run(5 * time.Second)
 	assertBound(t, f)
 }
+
+// Guards against a customer with a long name because of which receivers reject reports about all customers.
+func TestLongName(t *testing.T) {
+	f := newTestFleet(2, fleet.Quota{RequestsPerSecond: 5, Burst: 5}, 1)
+	long := fleet.Tenant{Name: strings.Repeat("x", 200), Quota: f.Limit}
+	h := f.Hosts[0]
+	h.Adopt(f.Now, &fleet.Configuration{Revision: 9, Tenants: map[string]fleet.Tenant{"a": long, "b": f.customer()}})
+	h.Take(f.Now, long)
+	h.Take(f.Now, f.customer())
+	section := h.Report(f.Now.Add(time.Second), f.Hosts[1].ID, 1000)
+	is.New(t).Equal(len(section.Customers), 1)
+	is.New(t).NoErr(section.Check())
+}
--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -166,7 +166,8 @@
 	section := &peerapi.CustomerUsage{}
 	for name := range q.Unreported {
 		b := q.Buckets[name]
-		if b.Changed <= h.Delivered {
+		// Receivers would reject the whole report because of a long name. Without reports, hosts have parts of that limit.
+		if b.Changed <= h.Delivered || len(name) > peerapi.MaxCustomerNameBytes {
 			continue
 		}
 		if len(section.Customers) == peerapi.MaxCustomers {
--- a/internal/peer/peerapi/usage.go
+++ b/internal/peer/peerapi/usage.go
@@ -10,8 +10,9 @@
 // Bounds of the section about customers, which may come from a faulty sender.
 const (
 	// MaxCustomers is the number of customers in one report. A report with all of them is smaller than the largest message.
-	MaxCustomers         = 4000
-	maxCustomerNameBytes = 128
+	MaxCustomers = 4000
+	// MaxCustomerNameBytes is the length of a name; a report with a longer one is rejected.
+	MaxCustomerNameBytes = 128
 	maxUsed              = 1e15
 )
 
@@ -72,7 +73,7 @@
 	}
 	for _, c := range u.Customers {
 		switch {
-		case c.Name == "" || len(c.Name) > maxCustomerNameBytes:
+		case c.Name == "" || len(c.Name) > MaxCustomerNameBytes:
 			return UsageError{Field: "name"}
 		case c.Used < 0 || c.Used > maxUsed:
 			return UsageError{Field: "total"}
