Accept reports of a host that restarted after its clock was set back

Incarnations are start times by the time of day. After a step back all reports of the restarted host were ignored, for as long as it was an entry host. They are now accepted after 10 s without any. TestReports has a case that fails without it.

--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -132,6 +132,18 @@
 		report(b, start, 0, Arrival{Restarted: true})
 		assertLevel(t, b, 17)
 	})
+	// Guards against a host whose reports are ignored for good because the time of day was set back before it restarted.
+	t.Run("a restart after the time of day was set back", func(t *testing.T) {
+		is := is.New(t)
+		var h Host
+		h.Hear(start, 2, 5)
+		_, ok := h.Hear(start.Add(maxLateness), 1, 1)
+		is.True(!ok)
+		a, ok := h.Hear(start.Add(maxLateness+time.Millisecond), 1, 1)
+		is.True(ok && a.Restarted)
+		_, ok = h.Hear(start.Add(maxLateness+time.Second), 1, 1)
+		is.True(!ok)
+	})
 	t.Run("late and repeated reports are ignored", func(t *testing.T) {
 		is := is.New(t)
 		var h Host
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -6,6 +6,9 @@
 // set aside for it, and does not become a debt.
 const maxSilence = time.Second
 
+// maxLateness is the time after which no report of an ended process arrives any more.
+const maxLateness = 10 * time.Second
+
 // Usage is what a host reports about a customer.
 type Usage struct {
 	// Incarnation identifies the run of the host's process, and Since the bucket in that run.
@@ -45,9 +48,10 @@
 	Silence      time.Duration
 }
 
-// Hear records a report. It returns false for a late or repeated one, which is ignored.
+// Hear records a report. It returns false for a late or repeated one, which is ignored. A lower incarnation is accepted after
+// maxLateness without reports: the time of day was set back, and the process has restarted since.
 func (h *Host) Hear(now time.Time, incarnation int64, sequence uint64) (Arrival, bool) {
-	if incarnation < h.Incarnation || incarnation == h.Incarnation && sequence <= h.Sequence {
+	if incarnation < h.Incarnation && now.Sub(h.HeardAt) <= maxLateness || incarnation == h.Incarnation && sequence <= h.Sequence {
 		return Arrival{}, false
 	}
 	a := Arrival{
