--- a/internal/customer/quotacmd/heal_test.go
+++ b/internal/customer/quotacmd/heal_test.go
@@ -23,12 +23,12 @@
 		f.run(time.Second)
 		last.Side = 0
 		f.run(time.Second)
-		assertKnownUse(t, f, f.Hosts[0], last)
+		assertKnownUse(t, f.Hosts[0], last)
 	}
 }
 
 // assertKnownUse checks that the host has heard what another one has accepted.
-func assertKnownUse(t *testing.T, f *testFleet, of, at *testHost) {
+func assertKnownUse(t *testing.T, of, at *testHost) {
 	t.Helper()
 	var used, known float64
 	of.Tables.Quotas.Read(guard.Held{}, func(_ guard.Held, q *table.Quotas) { used = q.Buckets[customerName].Used })
--- a/test/knownred/knownred.go
+++ b/test/knownred/knownred.go
@@ -33,7 +33,7 @@
 	directory, err := os.Getwd()
 	for err == nil {
 		var content []byte
-		if content, err = os.ReadFile(filepath.Join(directory, list)); err == nil {
+		if content, err = os.ReadFile(filepath.Join(directory, list)); err == nil { //nolint:gosec // the path is not an input
 			for line := range strings.Lines(string(content)) {
 				name, _, _ := strings.Cut(line, " ")
 				names = append(names, strings.TrimSpace(name))
