--- a/internal/customer/quotacmd/calm_test.go
+++ b/internal/customer/quotacmd/calm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,3 +97,33 @@
 	f.run(time.Second)
 	is.Equal(f.Refused, before)
 }
+
+// Guards against a customer that gets a full bucket because all its keys were replaced in two steps.
+func TestKeysReplaced(t *testing.T) {
+	f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 100, Burst: 300}, 1)
+	f.setDemand(1000, 1)
+	f.run(3 * time.Second)
+	f.revision++
+	for _, h := range f.Hosts {
+		h.Adopt(f.Now, &fleet.Configuration{Revision: f.revision})
+	}
+	f.setDemand(0, 1)
+	f.run(500 * time.Millisecond)
+	f.setLimit(f.Limit)
+	f.setDemand(1000, 1)
+	f.run(5 * time.Second)
+	assertBound(t, f)
+}
+
+// Guards against a customer with a long name because of which receivers reject reports about all customers.
+func TestLongName(t *testing.T) {
+	f := newTestFleet(2, fleet.Quota{RequestsPerSecond: 5, Burst: 5}, 1)
+	long := fleet.Tenant{Name: strings.Repeat("x", 200), Quota: f.Limit}
+	h := f.Hosts[0]
+	h.Adopt(f.Now, &fleet.Configuration{Revision: 9, Tenants: map[string]fleet.Tenant{"a": long, "b": f.customer()}})
+	h.Take(f.Now, long)
+	h.Take(f.Now, f.customer())
+	section := h.Report(f.Now.Add(time.Second), f.Hosts[1].ID, 1000)
+	is.New(t).Equal(len(section.Customers), 1)
+	is.New(t).NoErr(section.Check())
+}
