Use the servers of a zone whose entry hosts are silent

Cause: after the entry hosts of a zone were killed, the others kept their requests in their own zones.

Change: while a zone has servers and no entry host that was heard within a second, the service has no zone plan, and its servers are used as without zones.

--- a/internal/zone/zonecmd/zonecmd.go
+++ b/internal/zone/zonecmd/zonecmd.go
@@ -123,7 +123,7 @@
 ) (change, bool) {
 	s := z.Services[name]
 	zones := zonesOf(now, z, name, p, self, entryHosts)
-	if len(zones) < 2 {
+	if len(zones) < 2 || hasUnservedZone(zones) && !hasLostContact(now, z, self.AvailabilityZone) {
 		s.Plan = nil
 		return change{}, false
 	}
@@ -186,6 +186,15 @@
 	return zones
 }
 
+// hasUnservedZone reports whether a zone has servers and no entry host that is known to send them requests. Its servers are then
+// used by all others without a preference: while a zone's callers are not served, the floor of the service requires most of
+// the sound servers to be in use.
+func hasUnservedZone(zones []zoneshare.Zone) bool {
+	return slices.ContainsFunc(zones, func(z zoneshare.Zone) bool {
+		return z.ReachableSlots > 0 && (z.Unknown || z.Hosts == 0)
+	})
+}
+
 // hasLostContact reports whether hosts of other zones reported, but none of them lately.
 func hasLostContact(now time.Time, z *table.Zones, zone string) bool {
 	var others, fresh int
