--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -79,20 +79,13 @@
 
 // unreserved reports whether the other hosts may set aside nothing for this one.
 func (m *Membership) unreserved(now time.Time) bool {
-	alone := now.Sub(m.HeardAt)
-	others := m.Seeds+len(m.Hosts) > 0
-	if !m.FirstStart && alone > maxSilence && m.HeardAt.Sub(m.firstHeard()) < settledEntryDuration {
-		return others
+	if !m.FirstStart && m.neverHeard() {
+		return true
 	}
-	return others && alone > FormerEntryDuration
-}
-
-// firstHeard returns the time of the first report, or HeardAt without one.
-func (m *Membership) firstHeard() time.Time {
-	if m.FirstHeardAt.IsZero() {
-		return m.HeardAt
+	if now.Sub(m.HeardAt) > maxSilence && m.HeardAt.Sub(m.FirstHeardAt) < settledEntryDuration && !m.FirstHeardAt.IsZero() {
+		return true
 	}
-	return m.FirstHeardAt
+	return len(m.Hosts) > 0 && now.Sub(m.HeardAt) > FormerEntryDuration
 }
 
 // neverHeard reports whether the host has others to hear and has heard none of them since its start.
--- a/pkg/dispatchcmd/placing.go
+++ b/pkg/dispatchcmd/placing.go
@@ -17,9 +17,6 @@
 	// dueAfter is the time without a result after which a server is due. The floor of a service, of which a service that
 	// loses requests has to keep a share in use, is evaluated over two seconds.
 	dueAfter = 1500 * time.Millisecond
-	// firstUseAfter is the age from which a server that got no request is due for requests that are not idempotent as well.
-	// A service may have no others.
-	firstUseAfter = 2 * dueAfter
 	// turnedAwayMemory is the time after a server turned a request away in which its warm connection is no advantage. It
 	// answers at once, and would otherwise get the next request as well.
 	turnedAwayMemory = time.Second
@@ -64,13 +61,13 @@
 }
 
 // describe completes the candidates with the speed of the servers, their connections and whether they are due. Each server is
-// due at one of the nodes that share it, for an idempotent request, so that every server is in use and its failures are
-// found; at a high loss rate any request will do.
+// due at one of the nodes that share it, for a first attempt, so that every server is in use and its failures are found. The
+// floor of a service counts the servers in use before a loss as well, of which no node knows in advance.
 func (p placing) describe(candidates []admission.Server, pool servicePool, t *table.Ticket, now time.Time) {
 	if p.Conns == nil {
 		return
 	}
-	mayVisit := pool.HighLossRate || t.Idempotent && t.Attempt == 0
+	mayVisit := pool.HighLossRate || t.Attempt == 0
 	for n := range candidates {
 		c := &candidates[n]
 		s := pool.Servers[c.Address]
@@ -78,16 +75,13 @@
 		if pool.TurnsAwayAtRandom || now.Sub(s.Limit.LastShed) >= turnedAwayMemory {
 			c.Warmth = p.warmth(c.Address, t.Idempotent, now)
 		}
-		mayVisit := mayVisit || t.Attempt == 0 && s.State.LastRequestResult.IsZero() && now.Sub(s.FirstSeen) >= firstUseAfter
-		c.Due = mayVisit && !c.Probation && !c.BreakerOpen && isDue(s, c.Slowness, pool, now)
+		c.Due = mayVisit && !c.Probation && !c.BreakerOpen && isDue(s, pool, now)
 	}
 }
 
-// isDue reports whether this node should send the server a request because it was not used for some time. A slow server is
-// due less often.
-func isDue(s *table.Backend, slowness float64, pool servicePool, now time.Time) bool {
-	wait := time.Duration(max(slowness, 1) * float64(dueAfter))
-	return s.Outstanding == 0 && now.Sub(s.State.LastRequestResult) >= wait && now.Sub(s.FirstSeen) >= coldAge &&
+// isDue reports whether this node should send the server a request because it was not used for some time.
+func isDue(s *table.Backend, pool servicePool, now time.Time) bool {
+	return s.Outstanding == 0 && now.Sub(s.State.LastRequestResult) >= dueAfter && now.Sub(s.FirstSeen) >= coldAge &&
 		pool.visits(s)
 }
 
