--- a/internal/node/entrysettings/entrysettings.go
+++ b/internal/node/entrysettings/entrysettings.go
@@ -57,8 +57,8 @@
 	RetryBurst int     `toml:"retry-burst"`
 	// QuotaOver and QuotaSlack are how far the requests of a customer at all hosts may exceed its limit in any window: by a
 	// fraction of what the limit allows in it, and by a number of requests. They are zero if the deployment states none.
-	QuotaOver  float64 `toml:"quota-over"`
-	QuotaSlack float64 `toml:"quota-slack"`
+	QuotaOver  settings.OptionalNumber `toml:"quota-over"`
+	QuotaSlack settings.OptionalNumber `toml:"quota-slack"`
 	// ZonePreference is set if requests prefer the backend servers in the availability zone of their callers.
 	ZonePreference bool `toml:"zone-preference"`
 	// ZoneCrossingTime is the time that another zone adds to a request, there and back.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -55,6 +56,33 @@
 	return fmt.Sprintf("%q is not a duration; write a number with a unit, such as \"250ms\" or \"30s\"", e.Text)
 }
 
+// OptionalNumber is a number that is written as a string in TOML, for settings that a template fills in. An empty string and
+// null stand for a missing value, which is zero.
+type OptionalNumber float64
+
+// UnmarshalText parses a decimal number. It returns NumberError.
+func (n *OptionalNumber) UnmarshalText(text []byte) error {
+	if len(text) == 0 || string(text) == "null" {
+		*n = 0
+		return nil
+	}
+	v, err := strconv.ParseFloat(string(text), 64)
+	if err != nil {
+		return NumberError{Text: string(text)}
+	}
+	*n = OptionalNumber(v)
+	return nil
+}
+
+// NumberError reports a string that is not a decimal number.
+type NumberError struct {
+	Text string
+}
+
+func (e NumberError) Error() string {
+	return fmt.Sprintf("%q is not a number; write one such as \"0.1\", or \"\" for none", e.Text)
+}
+
 // Settings holds the settings that a node needs at startup, before it has read any configuration.
 type Settings struct {
 	HostID           string `toml:"host-id"`
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -150,8 +150,8 @@
 grace = %q
 retry-ratio = 0.2
 retry-burst = 62
-quota-over = %g
-quota-slack = %d
+quota-over = "%g"
+quota-slack = "%d"
 zone-preference = %t
 `, n.id, k%zones, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], relayAddress, seed, nodeMemoryMB, gracePeriod,
 		quotaOver, quotaSlack, h.zonePreference)
