--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -13,6 +13,8 @@
 	"egretline.example/egretline/internal/decide/roster"
 	"egretline.example/egretline/internal/peer/peerapi"
 	"egretline.example/egretline/internal/roster/rostercmd"
+	"egretline.example/egretline/internal/zone/zonecmd"
+	"egretline.example/egretline/internal/zone/zonequery"
 	"egretline.example/egretline/pkg/decide/retry"
 	"egretline.example/egretline/pkg/dispatchcmd"
 	"egretline.example/egretline/pkg/fleet"
@@ -349,12 +351,20 @@
 		return dispatchcmd.Sharing{}
 	}
 	sharing := dispatchcmd.Sharing{NodeIndex: index, Nodes: len(entryHosts)}
+	zones, now := &zonequery.Queries{Tables: n.Tables}, time.Now()
 	for _, h := range entryHosts {
+		inZone := h.AvailabilityZone == n.Options.Self.AvailabilityZone
+		if inZone {
+			sharing.NodesInZone++
+		}
 		if h.ID == n.Options.Self.ID {
-			sharing.IndexInZone = sharing.NodesInZone
+			sharing.VisitorIndex, sharing.VisitorIndexInZone = sharing.Visitors, sharing.VisitorsInZone
+		} else if n.Options.Zones.Enabled && !zones.HeardSince(h.ID, now.Add(-zonecmd.MaxReportAge)) {
+			continue
 		}
-		if h.AvailabilityZone == n.Options.Self.AvailabilityZone {
-			sharing.NodesInZone++
+		sharing.Visitors++
+		if inZone {
+			sharing.VisitorsInZone++
 		}
 	}
 	return sharing
--- a/internal/node/entrynode/zones_test.go
+++ b/internal/node/entrynode/zones_test.go
@@ -90,6 +90,17 @@
 			is.New(t).Equal(z.Reports["b1"].AvailabilityZone, "b")
 		})
 	})
+	// Guards against servers that nobody visits because the host whose turn it is was killed a moment ago.
+	t.Run("servers are shared for visits by the hosts that were heard", func(t *testing.T) {
+		n := newZoneNode(t, true, "b", "c")
+		is.New(t).Equal(n.sharing().Nodes, 3)
+		is.New(t).Equal(n.sharing().Visitors, 1)
+		n.reports.ObserveReport(time.Now(), peerapi.Report{
+			From: peerapi.Host{ID: "b1", AvailabilityZone: "b"}, Incarnation: 1, Sequence: 1, Load: &peerapi.ServiceLoads{},
+		})
+		is.New(t).Equal(n.sharing().Visitors, 2)
+		is.New(t).Equal(n.sharing().VisitorsInZone, 1)
+	})
 	t.Run("an idle node reports", func(t *testing.T) {
 		n := newZoneNode(t, true, "b")
 		n.Tables.Queues.Write(guard.Held{}, func(_ guard.Held, q *table.Queues) { clear(q.Services) })
--- a/internal/zone/zonecmd/zonecmd.go
+++ b/internal/zone/zonecmd/zonecmd.go
@@ -22,8 +22,8 @@
 	// StepInterval is the time between two steps. The reports that a step uses are older by at most this time and the
 	// delay of a message.
 	StepInterval = 200 * time.Millisecond
-	// maxReportAge is the age above which a report is not used. It leaves room for a few lost messages.
-	maxReportAge = time.Second
+	// MaxReportAge is the age above which a report is not used. It leaves room for a few lost messages.
+	MaxReportAge = time.Second
 	// reportRetention is the time for which a host without a new report still counts as one that this node has lost
 	// contact with.
 	reportRetention = 30 * time.Second
@@ -162,7 +162,7 @@
 		load, fresh := z.Services[service].Load, true
 		if h.ID != self.ID {
 			r, found := z.Reports[h.ID]
-			load, fresh = r.Services[service], found && now.Sub(r.Received) <= maxReportAge
+			load, fresh = r.Services[service], found && now.Sub(r.Received) <= MaxReportAge
 		}
 		if fresh {
 			reported[h.AvailabilityZone]++
@@ -201,7 +201,7 @@
 	for _, r := range z.Reports {
 		if r.AvailabilityZone != zone {
 			others++
-			if now.Sub(r.Received) <= maxReportAge {
+			if now.Sub(r.Received) <= MaxReportAge {
 				fresh++
 			}
 		}
--- a/internal/zone/zonequery/zonequery.go
+++ b/internal/zone/zonequery/zonequery.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"egretline.example/egretline/internal/decide/zoneshare"
 	"egretline.example/egretline/pkg/guard"
@@ -32,6 +33,15 @@
 	return loads
 }
 
+// HeardSince reports whether a report of the host has arrived since the time.
+func (q *Queries) HeardSince(hostID string, since time.Time) (heard bool) {
+	q.Tables.Zones.Read(guard.Held{}, func(_ guard.Held, z *table.Zones) {
+		r, found := z.Reports[hostID]
+		heard = found && r.Received.After(since)
+	})
+	return heard
+}
+
 // Plan is the plan of one service.
 type Plan struct {
 	Service string
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -82,8 +82,10 @@
 	Nodes     int
 	// NodesInZone is the number of sharing nodes in the availability zone of this node, including itself.
 	NodesInZone int
-	// IndexInZone is the index of this node among those of its zone.
-	IndexInZone int
+	// Visitors is the number of sharing nodes that were heard lately, including this one, and VisitorIndex the index of this
+	// node among them. VisitorsInZone and VisitorIndexInZone are those of its zone.
+	Visitors, VisitorIndex             int
+	VisitorsInZone, VisitorIndexInZone int
 }
 
 // SetSharing sets the nodes that share the backend servers evenly with this one.
--- a/pkg/dispatchcmd/placing.go
+++ b/pkg/dispatchcmd/placing.go
@@ -85,14 +85,14 @@
 		pool.visits(s)
 }
 
-// visits reports whether this node is the one that visits the server. If requests stay in their availability zone, it is one of
+// visits reports whether this node is the one that visits the server, among those that were heard lately. If requests stay in their availability zone, it is one of
 // the nodes of the server's zone.
 func (p servicePool) visits(s *table.Backend) bool {
 	if p.ZonePlan != nil && !p.HighLossRate {
 		return s.Server.AvailabilityZone == p.ZonePlan.Home &&
-			ownerOf(s.Server.Address, p.Sharing.NodesInZone) == p.Sharing.IndexInZone
+			ownerOf(s.Server.Address, p.Sharing.VisitorsInZone) == p.Sharing.VisitorIndexInZone
 	}
-	return ownerOf(s.Server.Address, p.Sharing.Nodes) == p.Sharing.NodeIndex
+	return ownerOf(s.Server.Address, p.Sharing.Visitors) == p.Sharing.VisitorIndex
 }
 
 // ownerOf returns the index of the node that visits the server at the address.
--- a/pkg/dispatchcmd/placing_test.go
+++ b/pkg/dispatchcmd/placing_test.go
@@ -164,7 +164,7 @@
 	runInBubble(t, 100, 40, func(_ *is.I, f *fixture) {
 		conns := &fakeConns{idle: map[string]time.Time{}, sent: map[string]int{}}
 		f.Conns = conns
-		f.SetSharing(Sharing{NodeIndex: node, Nodes: 3})
+		f.SetSharing(Sharing{NodeIndex: node, Nodes: 3, VisitorIndex: node, Visitors: 3})
 		done := make(chan table.Result)
 		for k := range rate * seconds {
 			if k == rate*(seconds-2) {
