Keep more of the tolerance of quotas for a restart of all hosts

Each restarted host gave a customer that it saw for the first time tokens for the time since its start, and half of the tolerance of large limits was in use before the kill already.

Change: for five seconds after a restart such buckets start empty; three tenths instead of half of the fraction are added to the limits (half of the slack, which is what small customers need, as before).

--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// usedTolerance is the fraction of the tolerance that is added to the limits. It keeps hosts from refusing requests of
-	// small customers between two reports. The rest covers what hosts accept before they hear of each other, and a restart
-	// of all hosts, which lose the debts of the buckets.
-	usedTolerance = 0.5
+	// usedOver and usedSlack are the fractions of the tolerance that are added to the limits. They keep hosts from refusing
+	// requests of small customers between two reports. The rest covers what hosts accept before they hear of each other, and a
+	// restart of all hosts, which lose the debts of the buckets: that costs large customers' limits the most.
+	usedOver  = 0.3
+	usedSlack = 0.5
 	// maxRetryAfter bounds the delay until a refused request will be accepted.
 	maxRetryAfter = 10 * time.Second
 	// maxPeaks bounds the peaks that a bucket records.
@@ -34,12 +35,12 @@
 
 // Allowance returns the number of requests by which buckets may be overdrawn.
 func (t Tolerance) Allowance(q fleet.Quota) float64 {
-	return usedTolerance * (t.Over*float64(q.Burst) + t.Slack)
+	return usedOver*t.Over*float64(q.Burst) + usedSlack*t.Slack
 }
 
 // Rate returns the tokens that are added to a bucket per second.
 func (t Tolerance) Rate(q fleet.Quota) float64 {
-	return q.RequestsPerSecond * (1 + usedTolerance*t.Over)
+	return q.RequestsPerSecond * (1 + usedOver*t.Over)
 }
 
 // Spenders are the other hosts that may accept requests of customers.
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -231,3 +231,15 @@
 		assertSpenders(t, m, later, 1)
 	})
 }
+
+// Guards against a fleet whose hosts all restart at once, and each of which starts with tokens for the time since: on one day
+// 2,882 requests of a customer ran within 5 s, where 2,845 were allowed.
+func TestInitialLevel(t *testing.T) {
+	limit := fleet.Quota{RequestsPerSecond: 100, Burst: 50}
+	m := membership(false)
+	hear(m, start.Add(time.Second))
+	is.New(t).Equal(m.InitialLevel(start.Add(2*time.Second), limit), 0.0)
+	later := start.Add(settleDuration + time.Second)
+	hear(m, later)
+	is.New(t).Equal(m.InitialLevel(later, limit), limit.RequestsPerSecond*later.Sub(m.InformedSince).Seconds())
+}
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -127,6 +127,10 @@
 	if now.Sub(m.HeardAt) > FormerEntryDuration && len(m.Spenders(now).Hosts) > 0 {
 		return 0
 	}
+	if !m.FirstStart && now.Sub(m.StartedAt) < settleDuration {
+		// The others may have restarted at the same time, and each of them would start with the same tokens.
+		return 0
+	}
 	return now.Sub(m.InformedSince).Seconds() * q.RequestsPerSecond
 }
 
