Find silent zones sooner, and use no tolerance of quotas after a restart

Change: a host is silent after three reports that did not come, 0.6 s. A host that has restarted uses none of the tolerance of quotas for five seconds.

--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -53,6 +53,15 @@
 	return &Commands{Tables: t, Logger: logger}
 }
 
+// usableTolerance returns the tolerance that this host may use. For some seconds after a restart it is none: if all hosts have
+// restarted, none knows what ran before, and others may accept requests that are not known yet.
+func usableTolerance(q *table.Quotas, now time.Time) quota.Tolerance {
+	if q.Membership.RestartedLately(now) {
+		return quota.Tolerance{}
+	}
+	return q.Tolerance
+}
+
 // Adopt takes the limits from the configuration. It drops the state of customers without a limit. That of customers whose
 // keys were all taken away is kept, because they would otherwise have a full bucket when they get new keys.
 func (c *Commands) Adopt(now time.Time, config *fleet.Configuration) {
@@ -90,7 +99,7 @@
 		}
 		b := bucket(q, now, t.Name, limit)
 		b.ConfirmAll(now, &q.Membership, q.Tolerance)
-		retryAfter, ok = b.Take(now, q.Spenders, q.Tolerance)
+		retryAfter, ok = b.Take(now, q.Spenders, usableTolerance(q, now))
 		if ok {
 			markChanged(q, now, t.Name, b)
 		}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -138,6 +138,7 @@
 // false.
 func (b *Bucket) Take(now time.Time, s Spenders, t Tolerance) (retryAfter time.Duration, ok bool) {
 	b.Settle(now)
+	b.Rate = t.Rate(b.Quota)
 	charge := float64(s.Count())
 	// A full bucket accepts a request even if it holds fewer tokens than there are hosts.
 	required := min(float64(b.Quota.Burst), charge-t.Allowance(b.Quota))
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -127,13 +127,18 @@
 	if now.Sub(m.HeardAt) > FormerEntryDuration && len(m.Spenders(now).Hosts) > 0 {
 		return 0
 	}
-	if !m.FirstStart && now.Sub(m.StartedAt) < settleDuration {
+	if m.RestartedLately(now) {
 		// The others may have restarted at the same time, and each of them would start with the same tokens.
 		return 0
 	}
 	return now.Sub(m.InformedSince).Seconds() * q.RequestsPerSecond
 }
 
+// RestartedLately reports whether the process has started a short time ago, and not with the whole fleet for the first time.
+func (m *Membership) RestartedLately(now time.Time) bool {
+	return !m.FirstStart && now.Sub(m.StartedAt) < settleDuration
+}
+
 // Hear records a report from the host with the ID.
 func (m *Membership) Hear(now time.Time, id string, incarnation int64, sequence uint64) (Arrival, bool) {
 	arrival, accepted := m.Host(id).Hear(now, incarnation, sequence)
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -359,7 +359,7 @@
 		}
 		if h.ID == n.Options.Self.ID {
 			sharing.VisitorIndex, sharing.VisitorIndexInZone = sharing.Visitors, sharing.VisitorsInZone
-		} else if n.Options.Zones.Enabled && !zones.HeardSince(h.ID, now.Add(-zonecmd.MaxReportAge)) {
+		} else if n.Options.Zones.Enabled && !zones.HeardSince(h.ID, now.Add(-zonecmd.MaxSilence)) {
 			continue
 		}
 		sharing.Visitors++
--- a/internal/zone/zonecmd/zonecmd.go
+++ b/internal/zone/zonecmd/zonecmd.go
@@ -22,8 +22,11 @@
 	// StepInterval is the time between two steps. The reports that a step uses are older by at most this time and the
 	// delay of a message.
 	StepInterval = 200 * time.Millisecond
-	// MaxReportAge is the age above which a report is not used. It leaves room for a few lost messages.
-	MaxReportAge = time.Second
+	// maxReportAge is the age above which a report is not used. It leaves room for a few lost messages.
+	maxReportAge = time.Second
+	// MaxSilence is the time without a report after which a host counts as one that sends no requests. The floor of a service
+	// is evaluated over two seconds, in which the servers that such a host used have to be found and used by others.
+	MaxSilence = 3 * StepInterval
 	// reportRetention is the time for which a host without a new report still counts as one that this node has lost
 	// contact with.
 	reportRetention = 30 * time.Second
@@ -123,7 +126,7 @@
 ) (change, bool) {
 	s := z.Services[name]
 	zones := zonesOf(now, z, name, p, self, entryHosts)
-	if len(zones) < 2 || hasUnservedZone(zones) && !hasLostContact(now, z, self.AvailabilityZone) {
+	if len(zones) < 2 || hasUnservedZone(now, z, zones, entryHosts, self) && !hasLostContact(now, z, self.AvailabilityZone) {
 		s.Plan = nil
 		return change{}, false
 	}
@@ -162,7 +165,7 @@
 		load, fresh := z.Services[service].Load, true
 		if h.ID != self.ID {
 			r, found := z.Reports[h.ID]
-			load, fresh = r.Services[service], found && now.Sub(r.Received) <= MaxReportAge
+			load, fresh = r.Services[service], found && now.Sub(r.Received) <= maxReportAge
 		}
 		if fresh {
 			reported[h.AvailabilityZone]++
@@ -189,10 +192,14 @@
 // hasUnservedZone reports whether a zone has servers and no entry host that is known to send them requests. Its servers are then
 // used by all others without a preference: while a zone's callers are not served, the floor of the service requires most of
 // the sound servers to be in use.
-func hasUnservedZone(zones []zoneshare.Zone) bool {
-	return slices.ContainsFunc(zones, func(z zoneshare.Zone) bool {
-		return z.ReachableSlots > 0 && (z.Unknown || z.Hosts == 0)
-	})
+func hasUnservedZone(now time.Time, z *table.Zones, zones []zoneshare.Zone, entryHosts []fleet.Host, self fleet.Host) bool {
+	heard := map[string]bool{self.AvailabilityZone: true}
+	for _, h := range entryHosts {
+		if r, found := z.Reports[h.ID]; found && now.Sub(r.Received) <= MaxSilence {
+			heard[h.AvailabilityZone] = true
+		}
+	}
+	return slices.ContainsFunc(zones, func(zone zoneshare.Zone) bool { return zone.ReachableSlots > 0 && !heard[zone.Name] })
 }
 
 // hasLostContact reports whether hosts of other zones reported, but none of them lately.
@@ -201,7 +208,7 @@
 	for _, r := range z.Reports {
 		if r.AvailabilityZone != zone {
 			others++
-			if now.Sub(r.Received) <= MaxReportAge {
+			if now.Sub(r.Received) <= maxReportAge {
 				fresh++
 			}
 		}
