http/strict: do not take a reset during an upload for the end of a response

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: such a body ends with its connection, which two goroutines use. The kernel reports a reset to one system call. If the goroutine that sends the request gets it, the one that reads the response gets the end of the stream. net/http's transport works the same way, so egretline serve had the fault towards backend servers and between nodes as well.

Change: internal/http/strict wraps the connections of all HTTP clients: those of http1 and the transports for backend servers and probes, other nodes, the metadata store, the log, the host list, load experiments and operator commands. A read that finds the end of the stream returns the failure that a write has received. EPIPE is left out: the kernel returns it for a reset after the end of the stream, and then the response is complete. The caller gets a 502 or a closed connection, the attempt counts as failed, and it is not repeated, because its body cannot be sent again.

--- a/cmd/egretline/cmds/command/apply.go
+++ b/cmd/egretline/cmds/command/apply.go
@@ -8,12 +8,12 @@
 	"flag"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"path/filepath"
 
 	"github.com/google/subcommands"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/service/api"
 	"egretline.example/egretline/service/operator"
@@ -72,7 +72,7 @@
 		_, _ = fmt.Fprintln(a.stderr, "apply:", err)
 		return subcommands.ExitFailure
 	}
-	client := operator.New(a.node, http.DefaultClient)
+	client := operator.New(a.node, strict.NewClient(0))
 	name := filepath.Base(a.file)
 	if a.base == currentBase {
 		if a.base, err = client.Revision(ctx, name); err != nil {
--- a/cmd/egretline/cmds/command/drain.go
+++ b/cmd/egretline/cmds/command/drain.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"egretline.example/egretline/internal/http/strict"
 )
 
 const (
@@ -50,7 +52,7 @@
 		fmt.Fprintln(os.Stderr, "drain:", err)
 		return subcommands.ExitUsageError
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := strict.NewClient(0).Do(r)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "drain: the node cannot be reached:", err)
 		return exitDrainUnreachable
--- a/cmd/egretline/cmds/query/client.go
+++ b/cmd/egretline/cmds/query/client.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
+
+	"egretline.example/egretline/internal/http/strict"
 )
 
 const (
@@ -42,7 +44,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create query")
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := strict.NewClient(0).Do(r)
 	if err != nil {
 		return nil, eris.Wrap(err, "query node")
 	}
--- a/cmd/egretline/cmds/query/entries.go
+++ b/cmd/egretline/cmds/query/entries.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/subcommands"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/service/api"
 )
 
@@ -78,7 +79,7 @@
 		return 0, nil, err
 	}
 	r.Header.Set("Authorization", "Bearer "+e.token)
-	response, err := http.DefaultClient.Do(r)
+	response, err := strict.NewClient(0).Do(r)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"egretline.example/egretline/internal/http/strict"
 )
 
 const (
@@ -47,7 +49,9 @@
 	// Reused reports whether the connection has carried an earlier request.
 	Reused bool
 
-	tcp    *net.TCPConn
+	tcp *net.TCPConn
+	// stream reads and writes the bytes of tcp.
+	stream net.Conn
 	reader *bufio.Reader
 	// hasReadDeadline reports whether a read deadline is set on the connection.
 	hasReadDeadline bool
@@ -145,7 +149,12 @@
 		_ = tcp.Close()
 		return nil, DialError{Address: address, Err: err}
 	}
-	return &Conn{Address: address, tcp: tcp, reader: bufio.NewReaderSize(tcp, readBufferBytes)}, nil
+	return newConn(address, tcp), nil
+}
+
+func newConn(address string, tcp *net.TCPConn) *Conn {
+	stream := strict.NewConn(tcp)
+	return &Conn{Address: address, tcp: tcp, stream: stream, reader: bufio.NewReaderSize(stream, readBufferBytes)}
 }
 
 func setUserTimeout(tcp *net.TCPConn) error {
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -244,15 +244,15 @@
 func (e *Exchange) writeRequest(s fleet.BackendServer) (bool, error) {
 	head := e.requestHead(s)
 	if e.RemainingBody == nil {
-		n, err := e.conn.tcp.Write(append(head, e.BufferedBody...))
+		n, err := e.conn.stream.Write(append(head, e.BufferedBody...))
 		return n > 0, err
 	}
 	// The server may respond before it has read a long body, so the body is sent while the response is awaited.
-	u, tcp := &upload{done: make(chan struct{})}, e.conn.tcp
+	u, stream := &upload{done: make(chan struct{})}, e.conn.stream
 	e.upload = u
 	go func() {
 		defer close(u.done)
-		u.err = e.sendLongBody(tcp, head)
+		u.err = e.sendLongBody(stream, head)
 	}()
 	return true, nil
 }
--- a/internal/backend/http1/flood_test.go
+++ b/internal/backend/http1/flood_test.go
@@ -153,7 +153,7 @@
 			_, _ = server.Write(received)
 			_ = server.Close()
 		}()
-		c := &Conn{Address: "test", tcp: client, reader: bufio.NewReaderSize(client, readBufferBytes)}
+		c := newConn("test", client)
 		defer c.Close()
 		for range maxResponsesRead {
 			response, err := c.readFinalResponse(request)
--- a/internal/backend/http1/head.go
+++ b/internal/backend/http1/head.go
@@ -93,7 +93,7 @@
 
 // growReader replaces the reader by one whose buffer holds the largest response head.
 func (c *Conn) growReader(buffered []byte) {
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.tcp), maxHeadBytes)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.stream), maxHeadBytes)
 }
 
 // setReadDeadline lets reads fail after the duration. An error means that the connection is closed, which the next read
--- a/internal/peer/peerclient/peerclient.go
+++ b/internal/peer/peerclient/peerclient.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/internal/peer/peerapi"
 )
 
@@ -44,9 +45,9 @@
 // New returns a client with its own connection pool.
 func New() *Client {
 	dialer := &net.Dialer{Timeout: messageTimeout}
-	return &Client{HTTP: &http.Client{Timeout: messageTimeout, Transport: &http.Transport{
+	return &Client{HTTP: &http.Client{Timeout: messageTimeout, Transport: strict.NewTransport(&http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 1,
-	}}}
+	})}}
 }
 
 // Sync requests membership and replica updates from the node at the address.
--- a/service/backend/client.go
+++ b/service/backend/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"egretline.example/egretline/internal/http/strict"
 )
 
 const (
@@ -19,14 +21,14 @@
 
 // NewTransport returns the transport for all backend servers of a node. It ignores the proxy settings of the
 // environment, and passes compressed bodies through unchanged.
-func NewTransport() *http.Transport {
+func NewTransport() *strict.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return strict.NewTransport(&http.Transport{
 		Proxy:                  nil,
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
--- /dev/null
+++ b/service/backend/reset_test.go
@@ -0,0 +1,56 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/service/api"
+)
+
+// headWithoutLength starts a response whose body ends with the connection.
+const headWithoutLength = "HTTP/1.1 200 OK\r\n" + api.HeaderRequestID + ": request\r\n\r\n"
+
+// endlessBody is a request body that is still being sent when the response ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+func newUpload() *http.Request {
+	r := newRequest(http.MethodPost, "")
+	r.Body, r.ContentLength = io.NopCloser(endlessBody{}), -1
+	return r
+}
+
+// TestResetDuringUpload guards against a cut response that is delivered as a complete one. The transport reads the response
+// and writes the request on two goroutines. If the writing one receives a reset, the reading one gets the end of the stream.
+func TestResetDuringUpload(t *testing.T) {
+	t.Run("a reset", func(t *testing.T) {
+		address := startRawServer(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, headWithoutLength+"part")
+			_, _ = io.CopyN(io.Discard, c, 256<<10) // meanwhile the response arrives
+			_ = c.(*net.TCPConn).SetLinger(0)
+		})
+		for range 100 {
+			got := send(t, context.Background(), newUpload(), address)
+			is.New(t).Equal(got.result.Evidence, fleet.Failed)
+			is.New(t).True(got.result.Outcome != fleet.Answered)
+			is.New(t).True(got.result.Sent)
+		}
+	})
+	t.Run("the end of the stream", func(t *testing.T) {
+		address := startRawServer(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, headWithoutLength+"whole")
+			_ = c.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, c)
+		})
+		for range 100 {
+			assertDelivered(t, send(t, context.Background(), newUpload(), address), "whole")
+		}
+	})
+}
--- a/service/entry/client.go
+++ b/service/entry/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/load"
 	"egretline.example/egretline/service/api"
@@ -78,14 +79,14 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		seedNodes: seedNodes,
-		transport: &http.Transport{
+		transport: strict.NewTransport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 			IdleConnTimeout:     idleConnTimeout,
 			// The transport would remove the compression, and the body would not match the digest of the backend
 			// server.
 			DisableCompression: true,
-		},
+		}),
 		state: guard.New(rankClient, clientState{
 			responses:   map[cacheKey]load.EntryResponse{},
 			fetching:    map[cacheKey]chan struct{}{},
--- a/service/node/node.go
+++ b/service/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/pkg/configcmd"
 	"egretline.example/egretline/pkg/configquery"
 	"egretline.example/egretline/pkg/decide/fold"
@@ -62,7 +63,7 @@
 	snapshotter    *configcmd.Snapshotter
 	memberCommands *membercmd.Commands
 	hosts          *hostlist.Client
-	transport      *http.Transport
+	transport      *strict.Transport
 	scheduler      *scheduler
 	servers        []*server
 	listenerErrors chan error
@@ -110,7 +111,7 @@
 		CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
 	}
 	t := table.New(self, member.Incarnation(time.Now(), rand.Uint32()))
-	platform := &http.Client{Timeout: platformTimeout}
+	platform := strict.NewClient(platformTimeout)
 	healthCommands := &healthcmd.Commands{Tables: t}
 	transport := backend.NewTransport()
 	n := &Node{
--- a/service/node/tls.go
+++ b/service/node/tls.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
-	"net/http"
 	"time"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/pkg/settings"
 	"egretline.example/egretline/service/peer"
 	"egretline.example/egretline/service/tlsfiles"
@@ -48,7 +48,7 @@
 	}
 }
 
-func (c certificates) peerTransport() *http.Transport {
+func (c certificates) peerTransport() *strict.Transport {
 	if c.peer == nil {
 		return peer.NewTransport(nil)
 	}
--- a/service/peer/client.go
+++ b/service/peer/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"egretline.example/egretline/internal/http/strict"
 	"egretline.example/egretline/pkg/configrecord"
 	"egretline.example/egretline/pkg/decide/fold"
 	"egretline.example/egretline/pkg/fleet"
@@ -36,18 +37,18 @@
 }
 
 // NewTransport returns the transport for messages between nodes. A nil dial opens plain TCP connections.
-func NewTransport(dial Dialer) *http.Transport {
+func NewTransport(dial Dialer) *strict.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	// URLs have the scheme http even with TLS, because the dialer performs the handshake.
-	return &http.Transport{
+	return strict.NewTransport(&http.Transport{
 		Proxy:               nil,
 		DialContext:         dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerNode,
 		IdleConnTimeout:     idleTimeout,
-	}
+	})
 }
 
 // SendHeartbeat sends a heartbeat to a node. It returns UnreachableError or StatusError.
--- a/service/peer/forward_test.go
+++ b/service/peer/forward_test.go
@@ -67,7 +67,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h.Context, h.Writer, h.RequestID = ctx, httptest.NewRecorder(), "id"
-	h.Request = httptest.NewRequest(http.MethodPost, "/loans/1", http.NoBody)
+	if h.Request == nil {
+		h.Request = httptest.NewRequest(http.MethodPost, "/loans/1", http.NoBody)
+	}
 	h.Request.Header.Set(api.HeaderIdempotencyKey, "n.i.0.a")
 	return f.Forward(h)
 }
@@ -91,6 +93,34 @@
 	return fleet.Host{ID: "gone", PeerAddress: l.Addr().String()}
 }
 
+// endlessBody is a request body that is still being sent when the response ends.
+type endlessBody struct{}
+
+func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
+
+// startResettingNode starts a node that responds at once with the start of a body without a length, and resets the connection.
+func startResettingNode(t *testing.T) fleet.Host {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+api.HeaderRequestID+": id\r\n"+api.HeaderOutcome+": answered\r\n\r\npart")
+				_, _ = io.CopyN(io.Discard, conn, 256<<10) // meanwhile the response arrives
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	return fleet.Host{ID: "n", PeerAddress: l.Addr().String()}
+}
+
 func assertOutcome(t *testing.T, r table.Result, want fleet.Outcome) {
 	t.Helper()
 	is.New(t).Equal(r.Outcome, want)
@@ -161,4 +191,11 @@
 		assertOutcome(t, r, fleet.Unknown)
 		is.New(t).True(r.Aborted)
 	})
+	t.Run("a response that is reset while the request is being sent is not complete", func(t *testing.T) {
+		f, target := newForwarder(t), startResettingNode(t)
+		for range 100 {
+			upload := httptest.NewRequest(http.MethodPost, "/loans/1", endlessBody{})
+			assertOutcome(t, forward(t, f, ForwardRequest{Request: upload, Targets: []fleet.Host{target}}), fleet.Unknown)
+		}
+	})
 }
