http/strict: reject responses with a status below 100

Cause: net/http accepts any three digits as a status. http1 rejects a final status below 200 and is unchanged. The exchanges of egretline serve passed the status on, where WriteHeader panics in a worker of the exchange or the forward pool and so ends the process. A health probe counted as passed.

Change: the transport of internal/http/strict returns StatusError, also for all other clients of the library. The attempt counts as failed after the request was sent, so that one that is not idempotent is not repeated.

--- a/internal/http/strict/transport.go
+++ b/internal/http/strict/transport.go
@@ -29,6 +29,19 @@
 	return &Transport{Transport: base}
 }
 
+// RoundTrip implements http.RoundTripper. It returns StatusError for a response with a status that HTTP does not have.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode < http.StatusContinue {
+		_ = response.Body.Close() // the response is dropped
+		return nil, StatusError{Status: response.StatusCode}
+	}
+	return response, nil
+}
+
 // NewClient returns a client with the settings of http.DefaultTransport. The timeout bounds each request; zero means no
 // bound.
 func NewClient(timeout time.Duration) *http.Client {
--- /dev/null
+++ b/service/backend/malformed_test.go
@@ -0,0 +1,40 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/service/api"
+)
+
+// malformedResponse is a response without the status line, to which a test adds a head that is no HTTP.
+const malformedResponse = "\r\n" + api.HeaderRequestID + ": request\r\nContent-Length: 4\r\n\r\nbody"
+
+// TestMalformedHead guards against a response of a faulty server that net/http accepts although it is no HTTP, and that reaches
+// a caller or counts as a passed health probe.
+func TestMalformedHead(t *testing.T) {
+	for _, status := range []string{"000", "000 OK", "099 Early"} {
+		address := startRawServer(t, func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 "+status+malformedResponse) })
+		t.Run("status "+status, func(t *testing.T) {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				assertFailed(t, send(t, context.Background(), newRequest(method, ""), address), fleet.Failed, true, &TransportError{})
+			}
+		})
+		t.Run("status "+status+" of a health probe", func(t *testing.T) { assertProbeFails(t, address) })
+	}
+}
+
+func assertProbeFails(t *testing.T, address string) {
+	t.Helper()
+	transport := NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	r := (&Prober{Transport: transport}).Probe(context.Background(), address)
+	is.New(t).True(r.Evidence == fleet.Failed || r.Evidence == fleet.Unreachable)
+	is.New(t).True(r.Err != nil)
+}
--- a/service/peer/forward_test.go
+++ b/service/peer/forward_test.go
@@ -98,8 +98,8 @@
 
 func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
 
-// startResettingNode starts a node that responds at once with the start of a body without a length, and resets the connection.
-func startResettingNode(t *testing.T) fleet.Host {
+// startRawNode starts a node that responds to the head of each request by the function, and then closes the connection.
+func startRawNode(t *testing.T, respond func(conn net.Conn)) fleet.Host {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -111,16 +111,24 @@
 				return
 			}
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+api.HeaderRequestID+": id\r\n"+api.HeaderOutcome+": answered\r\n\r\npart")
-				_, _ = io.CopyN(io.Discard, conn, 256<<10) // meanwhile the response arrives
+				respond(conn)
 			}
-			_ = conn.(*net.TCPConn).SetLinger(0)
 			_ = conn.Close()
 		}
 	}()
 	return fleet.Host{ID: "n", PeerAddress: l.Addr().String()}
 }
 
+// answerHeaders are the headers of a response to a request that was answered.
+const answerHeaders = api.HeaderRequestID + ": id\r\n" + api.HeaderOutcome + ": answered\r\n"
+
+// resetAfterPart responds with the start of a body without a length, and resets the connection during the request.
+func resetAfterPart(conn net.Conn) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+answerHeaders+"\r\npart")
+	_, _ = io.CopyN(io.Discard, conn, 256<<10) // meanwhile the response arrives
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
+
 func assertOutcome(t *testing.T, r table.Result, want fleet.Outcome) {
 	t.Helper()
 	is.New(t).Equal(r.Outcome, want)
@@ -192,10 +200,18 @@
 		is.New(t).True(r.Aborted)
 	})
 	t.Run("a response that is reset while the request is being sent is not complete", func(t *testing.T) {
-		f, target := newForwarder(t), startResettingNode(t)
+		f, target := newForwarder(t), startRawNode(t, resetAfterPart)
 		for range 100 {
 			upload := httptest.NewRequest(http.MethodPost, "/loans/1", endlessBody{})
 			assertOutcome(t, forward(t, f, ForwardRequest{Request: upload, Targets: []fleet.Host{target}}), fleet.Unknown)
 		}
 	})
+	t.Run("a response with status 000 is not relayed", func(t *testing.T) {
+		target := startRawNode(t, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 000\r\n"+answerHeaders+"Content-Length: 4\r\n\r\nbody")
+		})
+		r := forward(t, newForwarder(t), ForwardRequest{Targets: []fleet.Host{target}})
+		assertOutcome(t, r, fleet.Unknown)
+		is.New(t).True(!r.Response)
+	})
 }
