http/strict: reject responses with a blank in the name of a field

Cause: net/http rejects control bytes in names but accepts blanks, also before the colon, and does not recognize such a field. After "Content-Length : 4" the body goes on until the connection ends and passes for complete. http1 and all other clients read heads by net/http.

Change: strict.CheckFieldNames rejects the head, in http1 and in the transport of all other clients. The attempt counts as failed after the request was sent, and the caller gets no part of the response.

--- a/internal/backend/http1/head.go
+++ b/internal/backend/http1/head.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"time"
+
+	"egretline.example/egretline/internal/http/strict"
 )
 
 // Bounds of what a backend server may send before the response to a request. A faulty server sends bytes that are no
@@ -114,7 +116,14 @@
 	if err := c.awaitHead(); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, r)
+	response, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := strict.CheckFieldNames(response.Header); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // readFinalResponse reads the head of the next final response and skips interim (1xx) responses.
--- a/internal/http/strict/errors.go
+++ b/internal/http/strict/errors.go
@@ -10,3 +10,12 @@
 func (e StatusError) Error() string {
 	return fmt.Sprintf("response has the invalid status %03d", e.Status)
 }
+
+// FieldNameError reports a response head with a field whose name is not valid.
+type FieldNameError struct {
+	Name string
+}
+
+func (e FieldNameError) Error() string {
+	return fmt.Sprintf("response has a field with the invalid name %q", e.Name)
+}
--- a/internal/http/strict/transport.go
+++ b/internal/http/strict/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -29,19 +30,39 @@
 	return &Transport{Transport: base}
 }
 
-// RoundTrip implements http.RoundTripper. It returns StatusError for a response with a status that HTTP does not have.
+// RoundTrip implements http.RoundTripper. It returns StatusError for a response with a status that HTTP does not have, and
+// FieldNameError for one with a name that is not valid.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode < http.StatusContinue {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close() // the response is dropped
-		return nil, StatusError{Status: response.StatusCode}
+		return nil, err
 	}
 	return response, nil
 }
 
+func checkHead(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue {
+		return StatusError{Status: r.StatusCode}
+	}
+	return CheckFieldNames(r.Header)
+}
+
+// CheckFieldNames returns FieldNameError if a name in the head of a response holds a blank. net/http rejects names with other
+// bytes that are not allowed in a token (RFC 9110, section 5.6.2), but accepts blanks, also before the colon. It does not
+// recognize such a field, so that a length or a transfer encoding would not apply and the body would be another one.
+func CheckFieldNames(h http.Header) error {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return FieldNameError{Name: name}
+		}
+	}
+	return nil
+}
+
 // NewClient returns a client with the settings of http.DefaultTransport. The timeout bounds each request; zero means no
 // bound.
 func NewClient(timeout time.Duration) *http.Client {
--- a/internal/http/strict/transport_test.go
+++ b/internal/http/strict/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -61,3 +62,20 @@
 		t.Run("status "+status+" is accepted", func(t *testing.T) { assertAccepted(t, "HTTP/1.1 "+status+"\r\n") })
 	}
 }
+
+// TestFieldNames guards against a name that net/http accepts although a blank or a control byte is no part of a name.
+func TestFieldNames(t *testing.T) {
+	const statusLine = "HTTP/1.1 200 OK\r\n"
+	for _, field := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "X Y: 1", "X : 1"} {
+		t.Run(field+" is rejected", func(t *testing.T) { assertRejected(t, statusLine+field+"\r\n", &FieldNameError{}) })
+	}
+	for _, b := range []byte{0, 1, '\t', '\r', 0x1f, 0x7f, 0xe9} {
+		t.Run(fmt.Sprintf("byte %#x is rejected", b), func(t *testing.T) {
+			_, err := get(t, statusLine+"X"+string([]byte{b})+"Y: 1\r\n")
+			is.New(t).True(err != nil)
+		})
+	}
+	for _, field := range []string{"x!#$%&'*+-.^_`|~1: v", "X: \t a \tb \t", "X:", "X: a\r\n b c: d"} {
+		t.Run(fmt.Sprintf("%q is accepted", field), func(t *testing.T) { assertAccepted(t, statusLine+field+"\r\n") })
+	}
+}
--- a/service/backend/malformed_test.go
+++ b/service/backend/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,17 @@
 		})
 		t.Run("status "+status+" of a health probe", func(t *testing.T) { assertProbeFails(t, address) })
 	}
+	for _, field := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "X Y: 1", "X\tY: 1", "X\x01Y: 1"} {
+		address := startRawServer(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+api.HeaderRequestID+": request\r\n"+field+"\r\n\r\nbody and more")
+		})
+		t.Run(fmt.Sprintf("field %q", field), func(t *testing.T) {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				assertFailed(t, send(t, context.Background(), newRequest(method, ""), address), fleet.Failed, true, &TransportError{})
+			}
+		})
+		t.Run(fmt.Sprintf("field %q of a health probe", field), func(t *testing.T) { assertProbeFails(t, address) })
+	}
 }
 
 func assertProbeFails(t *testing.T, address string) {
--- a/service/peer/forward_test.go
+++ b/service/peer/forward_test.go
@@ -206,12 +206,15 @@
 			assertOutcome(t, forward(t, f, ForwardRequest{Request: upload, Targets: []fleet.Host{target}}), fleet.Unknown)
 		}
 	})
-	t.Run("a response with status 000 is not relayed", func(t *testing.T) {
-		target := startRawNode(t, func(conn net.Conn) {
-			_, _ = io.WriteString(conn, "HTTP/1.1 000\r\n"+answerHeaders+"Content-Length: 4\r\n\r\nbody")
+	for name, response := range map[string]string{
+		"a response with status 000":        "HTTP/1.1 000\r\n" + answerHeaders + "Content-Length: 4\r\n\r\nbody",
+		"a response with a blank in a name": "HTTP/1.1 200 OK\r\n" + answerHeaders + "Content-Length : 4\r\n\r\nbody and more",
+	} {
+		t.Run(name+" is not relayed", func(t *testing.T) {
+			target := startRawNode(t, func(conn net.Conn) { _, _ = io.WriteString(conn, response) })
+			r := forward(t, newForwarder(t), ForwardRequest{Targets: []fleet.Host{target}})
+			assertOutcome(t, r, fleet.Unknown)
+			is.New(t).True(!r.Response)
 		})
-		r := forward(t, newForwarder(t), ForwardRequest{Targets: []fleet.Host{target}})
-		assertOutcome(t, r, fleet.Unknown)
-		is.New(t).True(!r.Response)
-	})
+	}
 }
