service/backend: count a health response that breaks off as a failure

What callers saw: nothing reported.

Cause: a probe of egretline serve ignored the error of reading the body of a health response, so a reset in it, or an end before its length, counted as a passed probe.

Change: such a probe counts as failed. A sign of leaving in the head is kept, and a body that is longer than what is read is no error.

--- a/service/backend/malformed_test.go
+++ b/service/backend/malformed_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/service/api"
 )
 
@@ -42,11 +43,23 @@
 	}
 }
 
-func assertProbeFails(t *testing.T, address string) {
+func probe(t *testing.T, address string) table.Result {
 	t.Helper()
 	transport := NewTransport()
 	t.Cleanup(transport.CloseIdleConnections)
-	r := (&Prober{Transport: transport}).Probe(context.Background(), address)
+	return (&Prober{Transport: transport}).Probe(context.Background(), address)
+}
+
+func assertProbeFails(t *testing.T, address string) {
+	t.Helper()
+	r := probe(t, address)
 	is.New(t).True(r.Evidence == fleet.Failed || r.Evidence == fleet.Unreachable)
 	is.New(t).True(r.Err != nil)
 }
+
+func assertProbePasses(t *testing.T, address string) {
+	t.Helper()
+	r := probe(t, address)
+	is.New(t).NoErr(r.Err)
+	is.New(t).Equal(r.Evidence, fleet.Succeeded)
+}
--- a/service/backend/probe.go
+++ b/service/backend/probe.go
@@ -22,8 +22,8 @@
 	Transport http.RoundTripper
 }
 
-// Probe requests the health endpoint of the server and returns the result. A probe whose context was canceled has
-// evidence Canceled, which does not count against the server.
+// Probe requests the health endpoint of the server and returns the result. A response that breaks off is a failure. A probe
+// whose context was canceled has evidence Canceled, which does not count against the server.
 func (p *Prober) Probe(ctx context.Context, address string) table.Result {
 	started := time.Now()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+healthPath, nil)
@@ -37,13 +37,16 @@
 		result.Err = TransportError{Address: address, Err: err}
 		return result
 	}
-	defer response.Body.Close() //nolint:errcheck // an error in the rest of the body does not affect the result
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes))
+	defer response.Body.Close() //nolint:errcheck // the body is read to its end or abandoned
 	result.Status = response.StatusCode
 	result.Leaving = response.Header.Get(api.HeaderLeaving) == "true"
 	result.Evidence = fleet.Succeeded
 	if response.StatusCode >= http.StatusInternalServerError {
 		result.Evidence = fleet.Failed
 	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes)); err != nil {
+		result.Evidence = classifyTransportError(ctx, true)
+		result.Err = BodyError{Address: address, Err: err}
+	}
 	return result
 }
--- a/service/backend/reset_test.go
+++ b/service/backend/reset_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -54,3 +55,27 @@
 		}
 	})
 }
+
+// TestCutHealthResponse guards against a health probe that passes although its response broke off.
+func TestCutHealthResponse(t *testing.T) {
+	for name, response := range map[string]string{
+		"a reset in a body without a length": headWithoutLength + "part",
+		"a body shorter than its length":     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			assertProbeFails(t, startRawServer(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, response)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}))
+		})
+	}
+	for name, response := range map[string]string{
+		"a body that ends with its connection": headWithoutLength + "whole",
+		"a body longer than is read":           headWithoutLength + strings.Repeat("x", maxHealthBytes+1),
+		"no body":                              "HTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		t.Run(name+" passes", func(t *testing.T) {
+			assertProbePasses(t, startRawServer(t, func(c net.Conn) { _, _ = io.WriteString(c, response) }))
+		})
+	}
+}
