--- a/test/layout/layout_test.go
+++ b/test/layout/layout_test.go
@@ -2,10 +2,12 @@
 package layout
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -78,3 +80,72 @@
 		}
 	}
 }
+
+// productDirs are the directories whose packages read responses of other programs for callers and operators.
+var productDirs = []string{"cmd", "internal", "pkg", "platform", "service"}
+
+// Guards against an HTTP client that takes a broken response for a whole one because it does not use internal/http/strict.
+func TestClientsAreStrict(t *testing.T) {
+	const strictDir = moduleRoot + "/internal/http/strict"
+	for _, dir := range productDirs {
+		err := filepath.WalkDir(filepath.Join(moduleRoot, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || filepath.Dir(path) == strictDir {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err == nil {
+				assertStrictClients(t, path, file)
+			}
+			return err
+		})
+		is.New(t).NoErr(err)
+	}
+}
+
+// assertStrictClients checks that the file passes each http.Transport to strict.NewTransport, gives each http.Client a
+// transport, and does not use the default ones.
+func assertStrictClients(t *testing.T, path string, file *ast.File) {
+	t.Helper()
+	wrapped := map[ast.Node]bool{}
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.CallExpr:
+			if isSelector(n.Fun, "strict", "NewTransport") && len(n.Args) == 1 {
+				if address, ok := n.Args[0].(*ast.UnaryExpr); ok {
+					wrapped[address.X] = true
+				}
+			}
+		case *ast.CompositeLit:
+			if isSelector(n.Type, "http", "Transport") && !wrapped[n] || isSelector(n.Type, "http", "Client") && !hasField(n, "Transport") {
+				t.Errorf("%s has an HTTP client that does not use internal/http/strict", path)
+			}
+		case *ast.SelectorExpr:
+			for _, name := range []string{"DefaultClient", "DefaultTransport", "Get", "Head", "Post", "PostForm"} {
+				if isSelector(n, "http", name) {
+					t.Errorf("%s uses http.%s, which does not use internal/http/strict", path, name)
+				}
+			}
+		}
+		return true
+	})
+}
+
+func isSelector(e ast.Expr, pkg, name string) bool {
+	s, ok := e.(*ast.SelectorExpr)
+	if !ok || s.Sel.Name != name {
+		return false
+	}
+	x, ok := s.X.(*ast.Ident)
+	return ok && x.Name == pkg
+}
+
+func hasField(l *ast.CompositeLit, name string) bool {
+	return slices.ContainsFunc(l.Elts, func(e ast.Expr) bool {
+		field, ok := e.(*ast.KeyValueExpr)
+		if !ok {
+			return false
+		}
+		key, ok := field.Key.(*ast.Ident)
+		return ok && key.Name == name
+	})
+}
