--- a/internal/backend/http1/reset_test.go
+++ b/internal/backend/http1/reset_test.go
@@ -14,13 +14,9 @@
 	"github.com/matryer/is"
 
 	"egretline.example/egretline/pkg/fleet"
+	"egretline.example/egretline/test/rawserver"
 )
 
-// endlessBody is a request body that is still being sent when the response ends.
-type endlessBody struct{}
-
-func (endlessBody) Read(p []byte) (int, error) { return len(p), nil }
-
 // serveWithoutLength returns a connection handler that responds to the head of a request with a body that ends with the
 // connection, and ends that when proceed is closed.
 func serveWithoutLength(body string, proceed <-chan struct{}, end func(*net.TCPConn)) func(net.Conn, *bufio.Reader) {
@@ -54,7 +50,7 @@
 	e, w := newExchange(NewPool(), "r1", false)
 	var received strings.Builder
 	e.Delivery = NewDelivery(bodyWriter{w, &received}, newAccount(hostBytes))
-	e.Request.ContentLength, e.RemainingBody = -1, endlessBody{}
+	e.Request.ContentLength, e.RemainingBody = -1, rawserver.EndlessBody{}
 	return e, &received
 }
 
