replicacmd: log the replica's own offset when a batch changes it

Callers of review/6 reached servers long after these had left, and the log did not show which copy brought a server back: the line "replica of log topic changed" gave the offset of the batch only, so a copy that is older than the replica looked like any other.

The line now also gives the offset that the replica had reached and whether the batch covers the whole topic.

--- a/internal/replica/replicacmd/replicacmd.go
+++ b/internal/replica/replicacmd/replicacmd.go
@@ -90,8 +90,10 @@
 	now := time.Now()
 	var changes replica.Changes
 	var age time.Duration
+	var next int64 // the replica's next offset before the batch
 	c.Tables.Replicas.Write(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
 		state := r.Topics[topic]
+		next = state.Next
 		changes = replica.Apply(state, batch, c.recordComparison(topic), now)
 		age = replica.Age(state, now)
 		if topic == table.TopicBackendServers {
@@ -103,7 +105,7 @@
 	}
 	c.Logger.Info().Str("topic", string(topic)).Str("source", source).Int("set", len(changes.Set)).
 		Strs("removed", changes.Removed).Int64("next-offset", batch.Next).
-		Dur("age-ms", age).Bool("incomplete", batch.Incomplete).Msg("replica of log topic changed")
+		Int64("replica-next-offset", next).Bool("full", batch.Full).Dur("age-ms", age).Bool("incomplete", batch.Incomplete).Msg("replica of log topic changed")
 	if topic == table.TopicConfiguration {
 		c.applyConfiguration(changes)
 	}
