decide/replica: ignore records that the replica already covers

Cause: a host that starts gets full copies from several hosts. If the copy of a host that had seen a removal came first, the older copy of another host added the removed server again: the replica had never held the server and had no tombstone for it. The removal was below the replica's next offset, so nothing corrected this, and hosts that started later got the server from this one.

Change: a replica is complete up to its next offset and ignores every record below it.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -1,6 +1,7 @@
 // Package replica maintains a node's replica of a compacted topic, which holds the newest record of each key. Replicas
-// are updated from the log or from each other. Of two records of a key the one with the higher offset wins: the order
-// in which records arrive does not matter, and a replica never reverts to an older record.
+// are updated from the log or from each other. A replica is complete up to an offset and ignores records below it; of two
+// records of a key above it the one with the higher offset wins. The order in which batches arrive does not matter, and a
+// replica never reverts to an older record.
 package replica
 
 import (
@@ -105,7 +106,7 @@
 
 func applyRecord(s *State, r Record, uncompacted bool, equal func(a, b []byte) bool, c *Changes) {
 	old, known := s.Records[r.Key]
-	if known && old.Offset >= r.Offset || s.Tombstones[r.Key] > r.Offset {
+	if isCovered(s, r) || known && old.Offset >= r.Offset || s.Tombstones[r.Key] > r.Offset {
 		return
 	}
 	if len(r.Value) == 0 {
@@ -124,6 +125,11 @@
 	}
 }
 
+// isCovered reports whether the replica already reflects the record. The replica is complete up to Next, so a record below
+// it is either the current one or was superseded. There need not be a tombstone to show that: a replica that starts with a
+// copy made after a removal has none, and a peer's or the log's older copy must not add the key again.
+func isCovered(s *State, r Record) bool { return r.Offset < s.Next }
+
 func removeKey(s *State, key string, offset int64, c *Changes) {
 	_, known := s.Records[key]
 	delete(s.Records, key)
