replica: compare offsets within one era of the log

What callers saw: nothing yet. After the platform's store has come back from an older copy (a drill of the users), servers that register get no requests from any node, and servers that leave keep getting them, until the store's offsets have passed those that the nodes had reached.

Cause: replicas compare offsets, and the store gives out those of the lost records again.

A full copy of a later era replaces the replica, partial batches of another era and late batches of an earlier one are ignored, and a read of several pages does not mix eras. What is missing counts as expired during an outage. Entry hosts append their records to the topic of hosts again.

--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -33,12 +33,22 @@
 	StartedAtMs int64
 }
 
+// Position is a place in the log. A later era of the log may give out the offsets of an earlier one again.
+type Position struct {
+	Era    int64
+	Offset int64
+}
+
+func (p Position) before(other Position) bool {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Offset, other.Offset)) < 0
+}
+
 // Entry is a registration with its position in the log and its pending removal.
 type Entry struct {
 	Registration
-	// FirstOffset is the log offset of the first record of this run of the server. Of two entries with the same address,
-	// the one with the higher offset is current.
-	FirstOffset int64
+	// First is the position of the first record of this run of the server. Of two entries with the same address, the one
+	// with the later position is current.
+	First Position
 	// RemoveAt is the time at which a removal takes effect unless the server registers again; zero if none is pending.
 	RemoveAt time.Time
 }
@@ -49,13 +59,13 @@
 	Entries map[string]Entry
 }
 
-// Register stores a registration that was read from the log at the offset.
-func Register(s *State, r Registration, offset int64) {
-	firstOffset := offset
+// Register stores a registration that was read from the log at the position.
+func Register(s *State, r Registration, at Position) {
+	first := at
 	if old, known := s.Entries[r.Instance]; known && old.StartedAtMs == r.StartedAtMs && old.Address == r.Address {
-		firstOffset = old.FirstOffset
+		first = old.First
 	}
-	s.Entries[r.Instance] = Entry{Registration: r, FirstOffset: firstOffset}
+	s.Entries[r.Instance] = Entry{Registration: r, First: first}
 }
 
 // Remove removes an instance. The time outageEnd is the end of the last log outage, or zero if there was none. The
@@ -92,7 +102,7 @@
 func Pools(s *State) map[string][]fleet.BackendServer {
 	latest := map[string]Entry{}
 	for _, e := range s.Entries {
-		if old, known := latest[e.Address]; !known || old.FirstOffset < e.FirstOffset {
+		if old, known := latest[e.Address]; !known || old.First.before(e.First) {
 			latest[e.Address] = e
 		}
 	}
--- a/internal/decide/registry/registry_test.go
+++ b/internal/decide/registry/registry_test.go
@@ -16,7 +16,7 @@
 func newState(list ...Registration) *State {
 	s := &State{Entries: map[string]Entry{}}
 	for offset, r := range list {
-		Register(s, r, int64(offset))
+		Register(s, r, Position{Offset: int64(offset)})
 	}
 	return s
 }
@@ -36,7 +36,7 @@
 		s := newState(registration("i-1", "desk", "a1"), registration("i-2", "desk", "a2"))
 		leaving := registration("i-1", "desk", "a1")
 		leaving.Draining = true
-		Register(s, leaving, 9)
+		Register(s, leaving, Position{Offset: 9})
 		assertPool(t, s, "desk", "i-2")
 	})
 	// Guards against requests that reach the wrong service because its server took over the address of another one.
@@ -44,7 +44,16 @@
 		s := newState(registration("i-1", "desk", "a1"), registration("i-2", "view", "a1"))
 		assertPool(t, s, "desk")
 		assertPool(t, s, "view", "i-2")
-		Register(s, registration("i-1", "desk", "a1"), 20) // a late heartbeat of the earlier instance
+		Register(s, registration("i-1", "desk", "a1"), Position{Offset: 20}) // a late heartbeat of the earlier instance
+		assertPool(t, s, "view", "i-2")
+	})
+	// Guards against requests to the earlier server for as long as it is listed. The log came back from an older copy and gave
+	// out its offsets again, so that the later server has a lower offset.
+	t.Run("the registration of a later era takes over the address", func(t *testing.T) {
+		s := newState()
+		Register(s, registration("i-1", "desk", "a1"), Position{Offset: 90})
+		Register(s, registration("i-2", "view", "a1"), Position{Era: 1, Offset: 40})
+		assertPool(t, s, "desk")
 		assertPool(t, s, "view", "i-2")
 	})
 }
@@ -60,7 +69,7 @@
 		Remove(s, "i-1", now, now)
 		Remove(s, "i-2", now, now)
 		assertPool(t, s, "desk", "i-1", "i-2")
-		Register(s, registration("i-1", "desk", "a1"), 9)
+		Register(s, registration("i-1", "desk", "a1"), Position{Offset: 9})
 		is.New(t).True(RemoveExpired(s, now.Add(reregistrationTimeout)))
 		assertPool(t, s, "desk", "i-1")
 	})
--- a/internal/decide/replica/property_test.go
+++ b/internal/decide/replica/property_test.go
@@ -11,8 +11,8 @@
 
 // model is a log with replicas that read it and each other. Everything that is on its way may arrive late, twice or never.
 type model struct {
-	// Log holds all records from offset 0. A record without a value removes its key.
-	Log      []Record
+	// Logs holds the log of each era, with all records from offset 0. A record without a value removes its key.
+	Logs     [][]Record
 	Replicas []State
 	Requests []modelRequest
 	Reads    []modelRead
@@ -21,8 +21,8 @@
 
 // modelRequest is a sync request from one replica to another.
 type modelRequest struct {
-	From, To int
-	Cursor   int64
+	From, To    int
+	Era, Cursor int64
 }
 
 // modelRead is a read of the newest records of which the first page has arrived. The second page starts at key Split.
@@ -38,10 +38,14 @@
 	Batch Batch
 }
 
-// valuesAt returns the values of all keys after the records below the offset.
-func (m *model) valuesAt(end int64) map[string]Record {
+// era returns the present era, and log its records.
+func (m *model) era() int64    { return int64(len(m.Logs)) - 1 }
+func (m *model) log() []Record { return m.Logs[m.era()] }
+
+// valuesAt returns the values of all keys after the records of the log below the offset.
+func valuesAt(log []Record, end int64) map[string]Record {
 	values := map[string]Record{}
-	for _, r := range m.Log[:end] {
+	for _, r := range log[:end] {
 		values[r.Key] = r
 		if len(r.Value) == 0 {
 			delete(values, r.Key)
@@ -53,7 +57,7 @@
 // newest returns the newest records of the keys between two keys.
 func (m *model) newest(from, before string) []Record {
 	var list []Record
-	for key, r := range m.valuesAt(int64(len(m.Log))) {
+	for key, r := range valuesAt(m.log(), int64(len(m.log()))) {
 		if key >= from && key < before {
 			list = append(list, r)
 		}
@@ -82,6 +86,7 @@
 
 const (
 	modelKeys = 4
+	maxEras   = 3
 	lastKey   = "~"
 )
 
@@ -92,41 +97,57 @@
 		"append": func(t *rapid.T) {
 			key := fmt.Sprint(rapid.IntRange(0, modelKeys-1).Draw(t, "key"))
 			value := rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "value")
-			m.Log = append(m.Log, Record{Key: key, Value: []byte(value), Offset: int64(len(m.Log))})
+			m.Logs[m.era()] = append(m.log(), Record{Key: key, Value: []byte(value), Offset: int64(len(m.log()))})
+		},
+		"restore an older copy of the log": func(t *rapid.T) {
+			if len(m.Logs) < maxEras {
+				end := rapid.IntRange(0, len(m.log())).Draw(t, "end")
+				m.Logs = append(m.Logs, slices.Clone(m.log()[:end]))
+			}
 		},
 		"read the log": func(t *rapid.T) {
 			to := replica(t, "reader")
-			next := m.Replicas[to].Next
-			if next == 0 {
-				return // the newest records are read first
+			next, end := m.Replicas[to].Next, int64(len(m.log()))
+			if next == 0 || next > end {
+				return // the newest records are read
 			}
-			end := rapid.Int64Range(next, int64(len(m.Log))).Draw(t, "end")
-			m.send(to, Batch{Records: slices.Clone(m.Log[next:end]), Next: end, Uncompacted: true})
+			end = rapid.Int64Range(next, end).Draw(t, "end")
+			m.send(to, Batch{Era: m.era(), Records: slices.Clone(m.log()[next:end]), Next: end, Uncompacted: true})
 		},
 		"read the first page of the newest records": func(t *rapid.T) {
 			split := fmt.Sprint(rapid.IntRange(0, modelKeys).Draw(t, "split"))
-			b := Batch{Records: m.newest("", split), Next: int64(len(m.Log)), Full: true}
+			b := Batch{Era: m.era(), Records: m.newest("", split), Next: int64(len(m.log())), Full: true}
 			m.Reads = append(m.Reads, modelRead{To: replica(t, "reader"), Split: split, Batch: b})
 		},
 		"read the second page": func(t *rapid.T) {
 			take(t, &m.Reads, false, func(r modelRead) {
-				r.Batch.Records = append(r.Batch.Records, m.newest(r.Split, lastKey)...)
-				m.send(r.To, r.Batch)
+				if r.Batch.Era == m.era() { // the store's client starts again otherwise
+					r.Batch.Records = append(r.Batch.Records, m.newest(r.Split, lastKey)...)
+					m.send(r.To, r.Batch)
+				}
 			})
 		},
 		"request": func(t *rapid.T) {
 			from := replica(t, "from")
-			m.Requests = append(m.Requests, modelRequest{From: from, To: replica(t, "to"), Cursor: m.Replicas[from].Next})
+			s := &m.Replicas[from]
+			m.Requests = append(m.Requests, modelRequest{From: from, To: replica(t, "to"), Era: s.Era, Cursor: s.Next})
 		},
 		"answer": func(t *rapid.T) {
 			take(t, &m.Requests, again(t), func(r modelRequest) {
 				if s := &m.Replicas[r.To]; !s.AsOf.IsZero() {
-					m.send(r.From, Delta(s, r.Cursor))
+					m.send(r.From, Delta(s, r.Era, r.Cursor))
 				}
 			})
 		},
 		"deliver": func(t *rapid.T) {
-			take(t, &m.Batches, again(t), func(b modelBatch) { Apply(&m.Replicas[b.To], b.Batch, nil, startTime) })
+			take(t, &m.Batches, again(t), func(b modelBatch) {
+				s := &m.Replicas[b.To]
+				era, next := s.Era, s.Next
+				Apply(s, b.Batch, nil, startTime)
+				if s.Era < era || s.Era == era && s.Next < next {
+					t.Fatalf("replica %d went back from era %d offset %d to era %d offset %d", b.To, era, next, s.Era, s.Next)
+				}
+			})
 		},
 		"drop tombstones": func(t *rapid.T) {
 			s := &m.Replicas[replica(t, "replica")]
@@ -156,23 +177,24 @@
 		key := fmt.Sprint(key)
 		held := string(s.Records[key].Value)
 		found := false
-		for end := s.Next; end <= int64(len(m.Log)) && !found; end++ {
-			found = string(m.valuesAt(end)[key].Value) == held
+		log := m.Logs[s.Era]
+		for end := s.Next; end <= int64(len(log)) && !found; end++ {
+			found = string(valuesAt(log, end)[key].Value) == held
 		}
 		if !found {
-			t.Fatalf("replica %d with next offset %d holds %q for key %s, which the log never held from there on", k, s.Next, held, key)
+			t.Fatalf("replica %d at offset %d of era %d holds %q for key %s, which the log never held from there on", k, s.Next, s.Era, held, key)
 		}
 	}
 }
 
 // Guards against replicas that revert to an older record, restore a removed key or miss a change, because copies and deltas
-// arrive in any order, late or twice, at replicas that restart.
+// arrive in any order, late or twice, at replicas that restart, and because the log comes back from an older copy.
 func TestReplicaProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{Replicas: make([]State, 3)}
+		m := &model{Replicas: make([]State, 3), Logs: [][]Record{nil}}
 		t.Repeat(m.actions())
 		for k := range m.Replicas {
-			b := Batch{Records: m.newest("", lastKey), Next: int64(len(m.Log)), Full: true, AsOf: startTime}
+			b := Batch{Era: m.era(), Records: m.newest("", lastKey), Next: int64(len(m.log())), Full: true, AsOf: startTime}
 			Apply(&m.Replicas[k], b, nil, startTime)
 			assertComplete(t, m, k)
 		}
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -2,6 +2,10 @@
 // are updated from the log or from each other. A replica is complete up to an offset and ignores records below it; of two
 // records of a key above it the one with the higher offset wins. The order in which batches arrive does not matter, and a
 // replica never reverts to an older record.
+//
+// Offsets are comparable within one era of the log only. The log begins a new era when it comes back from an older copy: what
+// was written after that copy is lost, and its offsets are given out again. A replica enters a new era with a copy of the whole
+// topic, and ignores batches of earlier ones.
 package replica
 
 import (
@@ -27,6 +31,8 @@
 // Batch holds the records of an offset range of a topic, or of the whole topic.
 type Batch struct {
 	Records []Record
+	// Era is the era of the log that the offsets belong to.
+	Era int64
 	// Next is the offset that follows the range.
 	Next int64
 	// Full is set if the batch covers the whole topic. Keys without a record in the batch then do not exist.
@@ -47,10 +53,12 @@
 	Tombstones map[string]int64
 	// DeltasFrom is the lowest offset from which the replica can return every change. Older requests get a full copy.
 	DeltasFrom int64
-	Next       int64
+	// Era is the era of the log that all offsets belong to.
+	Era  int64
+	Next int64
 	// AsOf is the newest time at which the replica is known to have been complete; zero if it never was.
 	AsOf time.Time
-	// OutageEnd is the time of the last update that ended an outage of the log; zero if there was no outage.
+	// OutageEnd is the time of the last update that ended an outage of the log or began an era; zero if there was none.
 	OutageEnd time.Time
 }
 
@@ -64,14 +72,20 @@
 func (c Changes) Empty() bool { return len(c.Set)+len(c.Removed) == 0 }
 
 // Apply updates the replica with the batch. A record whose value equals the old one according to equal is not reported
-// as a change; a nil equal compares the bytes.
+// as a change; a nil equal compares the bytes. A batch of an earlier era, or a partial one of a later era, changes nothing.
 func Apply(s *State, b Batch, equal func(a, b []byte) bool, now time.Time) Changes {
 	if s.Records == nil {
 		s.Records, s.Tombstones = map[string]Record{}, map[string]int64{}
 	}
+	if b.Era < s.Era || b.Era > s.Era && !b.Full {
+		return Changes{}
+	}
 	if equal == nil {
 		equal = bytes.Equal
 	}
+	if b.Era > s.Era {
+		beginEra(s, b.Era, now)
+	}
 	if !s.AsOf.IsZero() && b.AsOf.Sub(s.AsOf) > minOutageDuration {
 		s.OutageEnd = now
 	}
@@ -91,6 +105,21 @@
 	return c
 }
 
+// beginEra prepares the replica for the first copy of a new era, which replaces all records. The keys that are missing in it
+// count as removed during an outage, because other writers are still writing again what the log has lost.
+func beginEra(s *State, era int64, now time.Time) {
+	if !s.AsOf.IsZero() {
+		s.OutageEnd = now
+	}
+	const beforeAllOffsets = -1
+	for key, r := range s.Records {
+		r.Offset = beforeAllOffsets
+		s.Records[key] = r
+	}
+	clear(s.Tombstones)
+	s.Era, s.Next, s.DeltasFrom = era, 0, 0
+}
+
 // keepFinalChanges reduces the changes to the final one of each key. A batch may both remove a key and set it again.
 func (c *Changes) keepFinalChanges(s *State) {
 	c.Set = slices.DeleteFunc(c.Set, func(r Record) bool {
@@ -164,10 +193,14 @@
 	s.DeltasFrom = s.Next
 }
 
-// Delta returns the records and removals that are missing in a replica with the given next offset. It returns a full
-// copy if the tombstones do not reach back to that offset.
-func Delta(s *State, next int64) Batch {
-	b := Batch{Next: s.Next, AsOf: s.AsOf, Full: next < s.DeltasFrom}
+// Delta returns the records and removals that are missing in a replica with the given era and next offset. It returns a full
+// copy if the tombstones do not reach back to that offset or the era is over, and no records if the replica is itself behind
+// in an earlier era.
+func Delta(s *State, era, next int64) Batch {
+	b := Batch{Era: s.Era, Next: s.Next, AsOf: s.AsOf, Full: era < s.Era || era == s.Era && next < s.DeltasFrom}
+	if era > s.Era {
+		return b
+	}
 	for _, r := range s.Records {
 		if b.Full || r.Offset >= next {
 			b.Records = append(b.Records, r)
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -67,7 +67,7 @@
 		equal := func(a, b []byte) bool { return a[0] == b[0] }
 		Apply(&s, batchOf(record("a", "x1", 1)), equal, startTime)
 		is.New(t).True(Apply(&s, batchOf(record("a", "x2", 2)), equal, startTime).Empty())
-		is.New(t).Equal(len(Delta(&s, 2).Records), 0)
+		is.New(t).Equal(len(Delta(&s, 0, 2).Records), 0)
 	})
 	t.Run("the end of a log outage is recorded", func(t *testing.T) {
 		var s State
@@ -90,7 +90,7 @@
 		b := batchOf(record("a", "x", 3))
 		b.Uncompacted = false
 		Apply(&direct, b, nil, startTime)
-		Apply(&indirect, Delta(&direct, indirect.Next), nil, startTime)
+		Apply(&indirect, Delta(&direct, 0, indirect.Next), nil, startTime)
 		assertValues(t, &indirect, map[string]string{"a": "x"})
 	})
 }
@@ -104,17 +104,17 @@
 			value := rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "value")
 			Apply(&log, batchOf(record(key, value, offset)), nil, startTime)
 			if rapid.Bool().Draw(t, "direct reads") {
-				Apply(&direct, Delta(&log, direct.Next), nil, startTime)
+				Apply(&direct, Delta(&log, 0, direct.Next), nil, startTime)
 			}
 			if rapid.Bool().Draw(t, "indirect asks direct") {
-				Apply(&indirect, Delta(&direct, indirect.Next), nil, startTime)
+				Apply(&indirect, Delta(&direct, 0, indirect.Next), nil, startTime)
 			}
 			if rapid.Bool().Draw(t, "indirect gets an answer to an old request") {
-				Apply(&indirect, Delta(&log, min(offset/2, indirect.Next)), nil, startTime)
+				Apply(&indirect, Delta(&log, 0, min(offset/2, indirect.Next)), nil, startTime)
 			}
 		}
-		Apply(&direct, Delta(&log, direct.Next), nil, startTime)
-		Apply(&indirect, Delta(&direct, indirect.Next), nil, startTime)
+		Apply(&direct, Delta(&log, 0, direct.Next), nil, startTime)
+		Apply(&indirect, Delta(&direct, 0, indirect.Next), nil, startTime)
 		for key, r := range log.Records {
 			if string(indirect.Records[key].Value) != string(r.Value) {
 				t.Fatalf("key %s is %q in the replica and %q in the log", key, indirect.Records[key].Value, r.Value)
@@ -162,7 +162,7 @@
 		newest := batchOf(record("other", "x", 5))
 		newest.Next, newest.Full, newest.Uncompacted = 20, true, false // k was removed at 15
 		Apply(&behind, newest, nil, startTime)
-		Apply(&current, Delta(&behind, current.Next), nil, startTime)
+		Apply(&current, Delta(&behind, 0, current.Next), nil, startTime)
 		assertValues(t, &current, map[string]string{"other": "x"})
 	})
 	t.Run("a replica that has read on gets only changes", func(t *testing.T) {
@@ -171,7 +171,7 @@
 		newest.Next, newest.Full, newest.Uncompacted = 20, true, false
 		Apply(&s, newest, nil, startTime)
 		Apply(&s, batchOf(record("k", "y", 21)), nil, startTime)
-		delta := Delta(&s, 20)
+		delta := Delta(&s, 0, 20)
 		is.New(t).True(!delta.Full)
 		is.New(t).Equal(len(delta.Records), 1)
 	})
@@ -211,7 +211,70 @@
 		var started State
 		s := removed()
 		Apply(s, older(true, false), nil, startTime)
-		Apply(&started, Delta(s, started.Next), nil, startTime)
+		Apply(&started, Delta(s, 0, started.Next), nil, startTime)
 		assertValues(t, &started, map[string]string{"other": "x"})
 	})
 }
+
+// Guards against a node that ignores all registrations after the log has come back from an older copy. The offsets start
+// again below those that the replica had reached.
+func TestEra(t *testing.T) {
+	copyOf := func(era int64, list ...Record) Batch {
+		b := batchOf(list...)
+		b.Era, b.Full, b.Uncompacted = era, true, false
+		return b
+	}
+	before := func() *State {
+		var s State
+		Apply(&s, copyOf(1, record("a", "x", 3), record("b", "y", 90)), nil, startTime)
+		return &s
+	}
+	t.Run("a copy of a later era replaces the replica", func(t *testing.T) {
+		s := before()
+		c := Apply(s, copyOf(2, record("a", "x", 3), record("c", "z", 40)), nil, startTime)
+		is := is.New(t)
+		is.Equal(c.Removed, []string{"b"})
+		is.Equal(len(c.Set), 1)
+		is.Equal(s.Next, int64(41))
+		assertValues(t, s, map[string]string{"a": "x", "c": "z"})
+	})
+	t.Run("what the log lost counts as removed during an outage", func(t *testing.T) {
+		s := before()
+		later := startTime.Add(time.Second)
+		Apply(s, copyOf(2, record("a", "x", 3)), nil, later)
+		is.New(t).Equal(s.OutageEnd, later)
+	})
+	t.Run("the first copy of a replica ends no outage", func(t *testing.T) { is.New(t).True(before().OutageEnd.IsZero()) })
+	t.Run("records of the later era are added at low offsets", func(t *testing.T) {
+		s := before()
+		Apply(s, copyOf(2, record("a", "x", 3)), nil, startTime)
+		next := batchOf(record("b", "new", 4))
+		next.Era = 2
+		Apply(s, next, nil, startTime)
+		assertValues(t, s, map[string]string{"a": "x", "b": "new"})
+	})
+	t.Run("a late batch of an earlier era changes nothing", func(t *testing.T) {
+		s := before()
+		Apply(s, copyOf(2, record("a", "x", 3)), nil, startTime)
+		late := batchOf(record("b", "y", 95))
+		late.Era = 1
+		is := is.New(t)
+		is.True(Apply(s, late, nil, startTime).Empty())
+		is.True(Apply(s, copyOf(1, record("b", "y", 95)), nil, startTime).Empty())
+		is.Equal(s.Next, int64(4))
+	})
+	t.Run("a partial batch of a later era changes nothing", func(t *testing.T) {
+		s := before()
+		partial := batchOf(record("b", "new", 95))
+		partial.Era = 2
+		is := is.New(t)
+		is.True(Apply(s, partial, nil, startTime).Empty())
+		is.Equal(s.Era, int64(1))
+	})
+	t.Run("a replica of an earlier era gets a full copy", func(t *testing.T) {
+		s := before()
+		is := is.New(t)
+		is.True(Delta(s, 0, 200).Full)
+		is.Equal(len(Delta(s, 2, 0).Records), 0)
+	})
+}
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -154,8 +154,8 @@
 	// logUnreachable is set if the last log read failed.
 	logUnreachable atomic.Bool
 	seeds          atomic.Pointer[[]string]
-	// listedInTopic is set once the node has appended its record to the topic of hosts.
-	listedInTopic atomic.Bool
+	// listedInEra is the era of the log in which the node has appended its record to the topic of hosts, or notListed.
+	listedInEra atomic.Int64
 	// wasEntryHost is set if the node was an entry host before it restarted, in which case other nodes wait for it to
 	// read the log.
 	wasEntryHost atomic.Bool
@@ -190,6 +190,7 @@
 	n.reports.quotas, n.reports.newReport = newQuotas(t, o, n.started, logger), n.newReport
 	n.peerContext, n.cancelPeerCalls = context.WithCancel(context.Background())
 	n.seeds.Store(&o.Seeds)
+	n.listedInEra.Store(notListed)
 	n.reports.zones = zonecmd.New(t, o.Zones, logger)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -70,6 +70,8 @@
 	announceCheckInterval = time.Second
 	// settledChecks is the number of consecutive checks after which an entry host adds its record.
 	settledChecks = 3
+	// notListed is the value of Node.listedInEra before the node has appended its record.
+	notListed = -1
 	// checksPerHostsRead is the number of announce checks between two reads of the topic of hosts by a registrar.
 	checksPerHostsRead = 10
 )
@@ -168,9 +170,9 @@
 // sync exchanges membership and replica updates with one host.
 func (n *Node) sync(h fleet.Host) {
 	requestedAt := time.Now()
+	cursors, eras := n.Replicas.Cursors()
 	request := peerapi.SyncRequest{
-		From: peerapi.HostMessage(n.Roster.Self()), Cursors: n.Replicas.Cursors(),
-		HostListDigest: n.hostListDigests.get(h.ID),
+		From: peerapi.HostMessage(n.Roster.Self()), Cursors: cursors, Eras: eras, HostListDigest: n.hostListDigests.get(h.ID),
 	}
 	request.From.Leaving = n.leaving.Load()
 	response, err := n.peers.Sync(n.peerContext, h.PeerAddress, request)
@@ -424,7 +426,7 @@
 			consecutive = 0
 		}
 		// A node that has just started has contacted few other hosts and may select itself as an entry host.
-		if consecutive >= settledChecks && !n.listedInTopic.Load() {
+		if consecutive >= settledChecks && !n.isListed() {
 			n.listInTopic(ctx)
 		}
 		// On the first start of a fleet the topic is empty and is not read.
@@ -435,6 +437,10 @@
 	})
 }
 
+// isListed reports whether the node has appended its record to the topic of hosts. A log that came back from an older copy may
+// have lost the record.
+func (n *Node) isListed() bool { return n.listedInEra.Load() == n.Replicas.Era(table.TopicHosts) }
+
 // listInTopic appends the node's record to the topic of hosts.
 func (n *Node) listInTopic(ctx context.Context) {
 	value, err := json.Marshal(peerapi.HostMessage(n.Options.Self, false))
@@ -444,11 +450,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, topicTimeout)
 	defer cancel()
+	era := n.Replicas.Era(table.TopicHosts)
 	if err := n.log.Append(ctx, table.TopicHosts, n.Options.Self.ID, value); err != nil {
 		n.Logger.Warn().Err(err).Msg("cannot append this node's record to the topic of hosts; retrying")
 		return
 	}
-	n.listedInTopic.Store(true)
+	n.listedInEra.Store(era)
 }
 
 // readHostsTopic updates the replica of the topic of hosts and returns the hosts in it, or nil if the log is
--- a/internal/node/entrynode/restart_test.go
+++ b/internal/node/entrynode/restart_test.go
@@ -79,6 +79,22 @@
 	})
 }
 
+// Guards against a restarted host that finds no other host in the topic of hosts. The log came back from an older copy without
+// the records of the entry hosts, which did not append them again.
+func TestListedInTopic(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t)
+	is.True(!n.isListed())
+	n.listInTopic(t.Context())
+	is.True(n.isListed())
+	n.replicaCommands.Apply(table.TopicHosts, replica.Batch{Full: true, Next: 9, AsOf: time.Now()}, "peer")
+	is.True(n.isListed())
+	n.replicaCommands.Apply(table.TopicHosts, replica.Batch{Era: 1, Full: true, Next: 4, AsOf: time.Now()}, "peer")
+	is.True(!n.isListed())
+	n.listInTopic(t.Context())
+	is.True(n.isListed())
+}
+
 // syncResponder responds to sync requests as the host.
 func syncResponder(h fleet.Host) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -36,6 +36,8 @@
 	From Host `json:"from"`
 	// Cursors holds the next offset that the sender needs for each topic.
 	Cursors map[table.Topic]int64 `json:"cursors"`
+	// Eras holds the era of the log that each cursor belongs to.
+	Eras map[table.Topic]int64 `json:"eras,omitempty"`
 	// HostListDigest is the digest of the last host list received from the registrar, or zero if there is none.
 	HostListDigest uint64 `json:"digest,omitempty"`
 }
@@ -52,6 +54,8 @@
 
 // Batch contains the records of a topic that the receiver's replica lacks.
 type Batch struct {
+	// Era is the era of the log that the offsets belong to.
+	Era int64 `json:"era,omitempty"`
 	// Next is the offset that follows the records which the sender's replica covers.
 	Next int64 `json:"next"`
 	// Full reports whether the batch covers the whole topic. Keys without a record in it then do not exist.
@@ -144,7 +148,7 @@
 
 // BatchMessage converts a batch to its wire format.
 func BatchMessage(b replica.Batch, now time.Time) Batch {
-	m := Batch{Next: b.Next, Full: b.Full, AgeMs: now.Sub(b.AsOf).Milliseconds()}
+	m := Batch{Era: b.Era, Next: b.Next, Full: b.Full, AgeMs: now.Sub(b.AsOf).Milliseconds()}
 	for _, r := range b.Records {
 		m.Records = append(m.Records, Record(r))
 	}
@@ -154,7 +158,7 @@
 // ReplicaBatch converts the message to a batch. The age counts from the time at which the request was sent, which
 // avoids underestimating it.
 func (b Batch) ReplicaBatch(sent time.Time) replica.Batch {
-	batch := replica.Batch{Next: b.Next, Full: b.Full, AsOf: sent.Add(-boundedAge(b.AgeMs))}
+	batch := replica.Batch{Era: b.Era, Next: b.Next, Full: b.Full, AsOf: sent.Add(-boundedAge(b.AgeMs))}
 	for _, r := range b.Records {
 		batch.Records = append(batch.Records, replica.Record(r))
 	}
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -72,7 +72,7 @@
 		From: peerapi.HostMessage(s.Roster.Self()), Topics: map[table.Topic]peerapi.Batch{}, HostListDigest: digest,
 	}
 	for topic, next := range m.Cursors {
-		if b := s.Replicas.Delta(topic, next); !b.AsOf.IsZero() {
+		if b := s.Replicas.Delta(topic, m.Eras[topic], next); !b.AsOf.IsZero() {
 			response.Topics[topic] = peerapi.BatchMessage(b, now)
 		}
 	}
--- a/internal/replica/replicacmd/replicacmd.go
+++ b/internal/replica/replicacmd/replicacmd.go
@@ -19,7 +19,8 @@
 
 // Log reads compacted topics, which keep the newest record of each key.
 type Log interface {
-	// Read returns the records starting at the offset. It returns ExpiredError if the log no longer keeps them.
+	// Read returns the records starting at the offset. It returns ExpiredError if the log does not have them. The batch may
+	// belong to a later era than the offset.
 	Read(ctx context.Context, topic table.Topic, from int64) (replica.Batch, error)
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, topic table.Topic) (replica.Batch, error)
@@ -55,10 +56,12 @@
 
 // Refresh updates the replica of the topic from the log, and reports whether anything changed.
 func (c *Commands) Refresh(ctx context.Context, topic table.Topic) (bool, error) {
-	var next int64
-	c.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) { next = r.Topics[topic].Next })
+	var era, next int64
+	c.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
+		era, next = r.Topics[topic].Era, r.Topics[topic].Next
+	})
 	asOf := time.Now()
-	batch, err := c.readSince(ctx, topic, next)
+	batch, err := c.readSince(ctx, topic, era, next)
 	if err != nil {
 		return false, err
 	}
@@ -68,13 +71,15 @@
 	return c.Apply(topic, batch, "log"), nil
 }
 
-func (c *Commands) readSince(ctx context.Context, topic table.Topic, next int64) (replica.Batch, error) {
+// readSince reads the records from the next offset of an era, or the newest records if the log does not have that offset
+// any more.
+func (c *Commands) readSince(ctx context.Context, topic table.Topic, era, next int64) (replica.Batch, error) {
 	if next == 0 {
 		return c.readNewest(ctx, topic)
 	}
 	batch, err := c.Log.Read(ctx, topic, next)
 	var expired ExpiredError
-	if errors.As(err, &expired) {
+	if errors.As(err, &expired) || err == nil && batch.Era != era {
 		return c.readNewest(ctx, topic)
 	}
 	return batch, eris.Wrapf(err, "read topic %s", topic)
@@ -90,16 +95,21 @@
 	now := time.Now()
 	var changes replica.Changes
 	var age time.Duration
-	var next int64 // the replica's next offset before the batch
+	var era, next int64 // those of the replica before the batch
 	c.Tables.Replicas.Write(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
 		state := r.Topics[topic]
-		next = state.Next
+		era, next = state.Era, state.Next
 		changes = replica.Apply(state, batch, c.recordComparison(topic), now)
 		age = replica.Age(state, now)
 		if topic == table.TopicBackendServers {
-			c.updateRegistry(&r.Registry, changes, state.OutageEnd, now)
+			c.updateRegistry(&r.Registry, changes, state, now)
 		}
 	})
+	if batch.Era > era && batch.Full && next > 0 {
+		c.Logger.Warn().Str("topic", string(topic)).Str("source", source).Int64("era", batch.Era).Int64("replica-era", era).
+			Int64("next-offset", batch.Next).Int64("replica-next-offset", next).
+			Msg("platform log has come back from an older copy; replica replaced by its newest records")
+	}
 	if changes.Empty() {
 		return false
 	}
@@ -129,9 +139,8 @@
 	}
 }
 
-// updateRegistry applies changed records of the topic of backend servers to the registry. outageEnd is the end of the
-// last outage of the log.
-func (c *Commands) updateRegistry(s *registry.State, changes replica.Changes, outageEnd, now time.Time) {
+// updateRegistry applies changed records of the topic of backend servers to the registry.
+func (c *Commands) updateRegistry(s *registry.State, changes replica.Changes, topic *replica.State, now time.Time) {
 	for _, r := range changes.Set {
 		server, err := c.Decoder.BackendServer(r.Key, r.Value)
 		if err != nil {
@@ -142,13 +151,13 @@
 			registry.Remove(s, r.Key, time.Time{}, now)
 			continue
 		}
-		registry.Register(s, server, r.Offset)
+		registry.Register(s, server, registry.Position{Era: topic.Era, Offset: r.Offset})
 		c.Logger.Info().Str("backend-server", server.Address).Str("instance", server.Instance).
 			Str("service", server.Service).Bool("draining", server.Draining).Int64("offset", r.Offset).
 			Msg("backend server registered")
 	}
 	for _, key := range changes.Removed {
-		registry.Remove(s, key, outageEnd, now)
+		registry.Remove(s, key, topic.OutageEnd, now)
 	}
 }
 
--- a/internal/replica/replicaquery/replicaquery.go
+++ b/internal/replica/replicaquery/replicaquery.go
@@ -14,27 +14,33 @@
 	Tables *table.Tables
 }
 
-// Cursors returns the next offset to read for each topic.
-func (q *Queries) Cursors() map[table.Topic]int64 {
-	cursors := map[table.Topic]int64{}
+// Cursors returns the next offset to read for each topic, and the era that it belongs to.
+func (q *Queries) Cursors() (cursors, eras map[table.Topic]int64) {
+	cursors, eras = map[table.Topic]int64{}, map[table.Topic]int64{}
 	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
 		for topic, s := range r.Topics {
-			cursors[topic] = s.Next
+			cursors[topic], eras[topic] = s.Next, s.Era
 		}
 	})
-	return cursors
+	return cursors, eras
 }
 
-// Delta returns the records missing from a replica that is complete up to the offset.
-func (q *Queries) Delta(topic table.Topic, next int64) (b replica.Batch) {
+// Delta returns the records missing from a replica that is complete up to the offset in the era.
+func (q *Queries) Delta(topic table.Topic, era, next int64) (b replica.Batch) {
 	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
 		if s, known := r.Topics[topic]; known {
-			b = replica.Delta(s, next)
+			b = replica.Delta(s, era, next)
 		}
 	})
 	return b
 }
 
+// Era returns the era of the log that the replica of the topic belongs to.
+func (q *Queries) Era(topic table.Topic) (era int64) {
+	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) { era = r.Topics[topic].Era })
+	return era
+}
+
 // Age returns the time since the replica of the topic was known to be complete.
 func (q *Queries) Age(topic table.Topic, now time.Time) (age time.Duration) {
 	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) { age = replica.Age(r.Topics[topic], now) })
