backend/http1: send a request once in an attempt

What callers saw: nothing by themselves.

Cause: after a reset or an end before the first byte of a response on a reused connection, the exchange sent an idempotent request once more within the same attempt, without the budget and without counting a possible run. A server that runs the request and resets the connection looks the same.

Change: an attempt is one send. If the connection had been idle and ends within the time of a handshake, the evidence is "idle-closed", which says nothing about health; a later end is a failure of the server. The dispatcher decides on another attempt and charges the budget, and that attempt opens a connection. "attempt failed" and the retry counters now show what nothing showed before.

--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -26,6 +26,9 @@
 	// DialTimeout is far above the round-trip time between availability zones. It is below the 1 s after which a lost SYN
 	// is retransmitted, because connecting to another backend server is faster.
 	DialTimeout = 350 * time.Millisecond
+	// maxIdleResetDelay is the default of Pool.MaxIdleResetDelay. A server resets a connection that it has forgotten after one
+	// round trip, which takes no longer than a handshake may.
+	maxIdleResetDelay = DialTimeout
 	// maxIdleDuration bounds how long a connection stays in the pool, also if the server announces a longer keep-alive
 	// timeout or none.
 	maxIdleDuration = 6 * time.Second
@@ -67,6 +70,9 @@
 // connection is dialed, read or written.
 type Pool struct {
 	Dialer net.Dialer
+	// MaxIdleResetDelay is how long after a request its connection may end for the cause to be that the server had closed it
+	// while it was idle. A server that ends the connection later has worked on the request.
+	MaxIdleResetDelay time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
@@ -75,8 +81,9 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		Dialer: net.Dialer{Timeout: DialTimeout, KeepAlive: unackedDataTimeout},
-		idle:   map[string][]*Conn{},
+		Dialer:            net.Dialer{Timeout: DialTimeout, KeepAlive: unackedDataTimeout},
+		MaxIdleResetDelay: maxIdleResetDelay,
+		idle:              map[string][]*Conn{},
 	}
 }
 
--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -68,6 +68,9 @@
 	fullyBuffered bool
 	// upload is the sending of a request body in a goroutine; nil if the body was sent synchronously.
 	upload *upload
+	// idleClosed reports whether an earlier attempt found that the server had closed an idle connection. Further attempts open
+	// connections, because the others that are idle may be closed too.
+	idleClosed bool
 	// notice is what the server asked for in the responses read by the last Send.
 	notice serverNotice
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
@@ -105,8 +108,9 @@
 	}
 }
 
-// Send sends the request to the backend server and reads the response headers and the start of the body. It retries once
-// if an idempotent request was sent on an idle connection that the server had closed.
+// Send sends the request to the backend server once, and reads the response headers and the start of the body. It never sends
+// it again by itself: a server that resets a reused connection may have run the request, and each arrival counts against the
+// retry budget.
 func (e *Exchange) Send(ctx context.Context, s fleet.BackendServer) table.Result {
 	if e.HasCallerLeft != nil && e.HasCallerLeft() {
 		return table.Result{Evidence: fleet.Canceled, Err: CallerLeftError{}}
@@ -114,11 +118,8 @@
 	started := time.Now()
 	e.notice = serverNotice{}
 	result := e.sendOnce(ctx, s, started)
-	if result.Err != nil && e.Idempotent && e.conn != nil && e.conn.Reused && e.response == nil && ctx.Err() == nil &&
-		e.RemainingBody == nil && closedBeforeResponse(result.Err) {
-		// The server had closed the idle connection. This is not evidence of a failing server.
-		e.Discard()
-		result = e.sendOnce(ctx, s, started)
+	if ctx.Err() == nil && e.endedIdleConn(result.Err, started) {
+		result.Evidence, e.idleClosed = fleet.IdleClosed, true
 	}
 	result.Latency = time.Since(started)
 	result.Bytes = e.exchangedBytes()
@@ -146,6 +147,12 @@
 	return n
 }
 
+// endedIdleConn reports whether the error of an idempotent request is that of an idle connection which the server had closed.
+func (e *Exchange) endedIdleConn(err error, sent time.Time) bool {
+	return err != nil && e.Idempotent && e.conn != nil && e.conn.Reused && e.response == nil && closedBeforeResponse(err) &&
+		time.Since(sent) <= e.Pool.MaxIdleResetDelay
+}
+
 // closedBeforeResponse reports whether the server closed or reset the connection before the first byte of a response.
 func closedBeforeResponse(err error) bool {
 	var exchangeErr ExchangeError
@@ -206,8 +213,10 @@
 }
 
 func (e *Exchange) connect(ctx context.Context, address string) (*Conn, error) {
-	if c := e.Pool.Take(address, e.RequestID, maxIdle(e.Idempotent)); c != nil {
-		return c, nil
+	if !e.idleClosed {
+		if c := e.Pool.Take(address, e.RequestID, maxIdle(e.Idempotent)); c != nil {
+			return c, nil
+		}
 	}
 	return e.Pool.Dial(ctx, address)
 }
--- a/pkg/dispatchcmd/patience.go
+++ b/pkg/dispatchcmd/patience.go
@@ -62,7 +62,7 @@
 ) retry.Reason {
 	p, budget := patienceOf(b, a.Ticket.Service), d.budgetOf(b, a.Ticket.Service)
 	attempt := retryAttempt(a, r, left)
-	if attempt.Sent && r.Evidence != fleet.Canceled {
+	if attempt.Sent && r.Evidence != fleet.Canceled && r.Evidence != fleet.IdleClosed {
 		p.ObserveAttempt(r.Evidence == fleet.Shed)
 	}
 	if r.Evidence != fleet.Shed {
--- a/pkg/fleet/outcome.go
+++ b/pkg/fleet/outcome.go
@@ -31,6 +31,9 @@
 	// Withheld is an attempt that was not sent, because the server asked for no more requests after it had been chosen. It
 	// is no evidence about health.
 	Withheld Evidence = "withheld"
+	// IdleClosed is a request that was sent on an idle connection which the server had closed, as far as the node can tell. The
+	// server may have run it. It is no evidence about health.
+	IdleClosed Evidence = "idle-closed"
 	// Canceled is an attempt that was canceled before it completed. It is no evidence about health.
 	Canceled Evidence = "canceled"
 )
