service/backend: do not let net/http send a request again

Behind "egretline serve" a backend server in trouble gets more arrivals beyond the first of each request than the retry budget allows.

Cause: net/http replays a request when a reused connection breaks before the first byte of a response, if its body can be rewound. Idempotent requests without a body were sent with http.NoBody, which can. The retry budget was not charged.

Change: every request has a body that cannot be rewound, as those that must not run twice had before. The end of a reused connection within 350 ms has the evidence "idle-closed", which says nothing about health.

Test: TestIdempotentRequestIsSentOnce; all four subtests failed before, with three arrivals for two requests.

--- a/service/backend/exchange.go
+++ b/service/backend/exchange.go
@@ -17,6 +17,10 @@
 	"egretline.example/egretline/service/api"
 )
 
+// maxIdleResetDelay is the default of Exchange.MaxIdleResetDelay. It is far above the round-trip time between zones, and below
+// the time that servers work on most requests.
+const maxIdleResetDelay = 350 * time.Millisecond
+
 // Exchange sends one request of a caller to backend servers and streams the response back. It implements table.Runner.
 type Exchange struct {
 	Transport http.RoundTripper
@@ -27,6 +31,9 @@
 	Tenant     string
 	Idempotent bool
 	Deadline   time.Time
+	// MaxIdleResetDelay is how long after a request its connection may end for the cause to be that the server had closed it
+	// while it was idle. A server that ends the connection later has worked on the request.
+	MaxIdleResetDelay time.Duration
 
 	body     *replayBody
 	response *http.Response
@@ -40,23 +47,32 @@
 
 // NewExchange returns an exchange for the caller's request r that writes the response to w.
 func NewExchange(t http.RoundTripper, r *http.Request, w http.ResponseWriter) *Exchange {
-	return &Exchange{Transport: t, Request: r, Writer: w, body: &replayBody{source: r.Body}}
+	return &Exchange{
+		Transport: t, Request: r, Writer: w, MaxIdleResetDelay: maxIdleResetDelay, body: &replayBody{source: r.Body},
+	}
 }
 
-// Send sends the request to the backend server and waits for the response headers.
+// Send sends the request to the backend server once and waits for the response headers.
 func (e *Exchange) Send(ctx context.Context, s fleet.BackendServer) table.Result {
 	e.address = s.Address
 	e.response = nil
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		e.conn, e.reused = i.Conn, i.Reused
-		sent.Store(true)
-	}}
+	var sent, responded atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			e.conn, e.reused = i.Conn, i.Reused
+			sent.Store(true)
+		},
+		GotFirstResponseByte: func() { responded.Store(true) },
+	}
 	started := time.Now()
 	response, err := e.Transport.RoundTrip(e.outgoingRequest(httptrace.WithClientTrace(ctx, trace), s)) //nolint:bodyclose // closed by Deliver or Discard
 	result := table.Result{Sent: sent.Load(), Latency: time.Since(started)}
 	if err != nil {
 		result.Evidence = classifyTransportError(ctx, sent.Load())
+		idle := sent.Load() && e.reused && !responded.Load() && result.Latency <= e.MaxIdleResetDelay
+		if result.Evidence == fleet.Failed && e.Idempotent && idle {
+			result.Evidence = fleet.IdleClosed
+		}
 		result.Err = TransportError{Address: s.Address, Err: err}
 	} else {
 		e.response = response
@@ -124,12 +140,9 @@
 	out.Header.Set(api.HeaderTenant, e.Tenant)
 	out.Header.Set(api.HeaderTimeout, strconv.FormatInt(time.Until(e.Deadline).Milliseconds(), 10))
 	out.GetBody = nil
+	// A non-nil body, even if it is empty, keeps the transport from sending the request again by itself when a reused connection
+	// breaks. The server may have run the request, and each arrival counts against the retry budget.
 	out.Body = &attemptBody{shared: e.body}
-	if e.Idempotent && in.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
-	// A request that is not idempotent keeps a non-nil body even if it is empty. Without one, the transport would
-	// replay a request with an Idempotency-Key header when a reused connection breaks.
 	return out
 }
 
--- a/service/backend/exchange_test.go
+++ b/service/backend/exchange_test.go
@@ -154,6 +154,35 @@
 	is.New(t).Equal(runs.Load(), int64(2)) // each request was received once
 }
 
+// Guards against arrivals at a backend server that the retry budget does not know of, and against evidence against a sound
+// server that closed an idle connection.
+func TestIdempotentRequestIsSentOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration
+		want  fleet.Evidence
+	}{
+		"the end of an idle connection is no evidence":       {time.Hour, fleet.IdleClosed},
+		"a server that ends the connection later has failed": {0, fleet.Failed},
+	} {
+		for _, method := range []string{http.MethodGet, http.MethodHead} {
+			t.Run(name+", "+method, func(t *testing.T) {
+				var runs atomic.Int64
+				address := startBreakingServer(t, &runs)
+				transport := NewTransport()
+				t.Cleanup(transport.CloseIdleConnections)
+				assertStatus(t, sendOn(t, context.Background(), transport, newRequest(http.MethodPost, ""), address), http.StatusOK)
+				e := NewExchange(transport, newRequest(method, ""), httptest.NewRecorder())
+				e.RequestID, e.Idempotent, e.MaxIdleResetDelay = "request", true, c.delay
+				r := e.Send(context.Background(), fleet.BackendServer{Address: address})
+				is := is.New(t)
+				is.Equal(r.Evidence, c.want)
+				is.True(r.Sent)
+				is.Equal(runs.Load(), int64(2)) // each request was received once
+			})
+		}
+	}
+}
+
 // startRepeatingServer starts a server that refuses the first request, and repeats the refusal with the given request ID
 // while it runs the next one.
 func startRepeatingServer(t *testing.T, repeatedID string) string {
