service/peer: charge the retry budget for requests forwarded again

When a node of "egretline serve" dies, backend servers get its lookups twice without a charge to a retry budget.

Cause: an idempotent request without a body goes to the next node of the group if the first one, which may have sent it to a backend server, does not answer. The next node took it for a new request, and it even earned a deposit. net/http also sent it again to the first node by itself when a reused connection broke.

Change: the next node gets the request marked with Egretline-Repeated and charges its budget for the first attempt; it refuses the request if the budget is spent or if the route is not idempotent in its own configuration. Forwarded requests have a body that net/http cannot rewind.

--- a/pkg/decide/retry/retry.go
+++ b/pkg/decide/retry/retry.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// DecideRepeated decides whether a request that another node may have sent before is sent by this node, and charges the
+// budget for it.
+func DecideRepeated(idempotent bool, b *Budget) Reason {
+	switch {
+	case !idempotent:
+		return PossiblyRun
+	case TryWithdraw(b):
+		return Allowed
+	default:
+		return BudgetSpent
+	}
+}
+
 // TryWithdraw charges the budget for one retry and reports whether the balance was sufficient.
 func TryWithdraw(b *Budget) bool {
 	if b.Balance < WithdrawalPerRetry {
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -143,12 +143,16 @@
 }
 
 // Admit puts the ticket into the queue of its service. It returns ServiceError if the service has no backend servers,
-// ClosingError after Close, and admission.RefusedError if the request is shed. After a nil error the result arrives on
-// the ticket's Done channel, unless Cancel returns true.
+// ClosingError after Close, RepeatedError if a repeated request may not be sent, and admission.RefusedError if the request is
+// shed. UnsentOutcome then gives its outcome. After a nil error the result arrives on the ticket's Done channel, unless Cancel
+// returns true.
 func (d *Dispatcher) Admit(now time.Time, t *table.Ticket) error {
 	if !d.hasBackends(t.Service) {
 		return ServiceError{Service: t.Service}
 	}
+	if reason := d.decideRepeated(t); reason != retry.Allowed {
+		return RepeatedError{Service: t.Service, Reason: reason}
+	}
 	d.depositArrival(t, now)
 	var displaced []*table.Ticket
 	var err error
@@ -168,6 +172,25 @@
 	return nil
 }
 
+// decideRepeated decides whether a ticket that another node may have sent before is admitted, and charges the retry budget.
+func (d *Dispatcher) decideRepeated(t *table.Ticket) retry.Reason {
+	if !t.Repeated {
+		return retry.Allowed
+	}
+	var reason retry.Reason
+	d.Tables.Queues.Write(guard.Held{}, func(h guard.Held, q *table.Queues) {
+		d.Tables.Budgets.Write(h, func(_ guard.Held, b *table.Budgets) {
+			reason = retry.DecideRepeated(t.Idempotent, d.budgetOf(b, t.Service))
+		})
+		if reason == retry.Allowed {
+			countsOf(q, t).Retries++
+		} else {
+			countsOf(q, t).NotRetried[reason]++
+		}
+	})
+	return reason
+}
+
 func (d *Dispatcher) hasBackends(service string) bool {
 	var found bool
 	d.Tables.Backends.Read(guard.Held{}, func(_ guard.Held, b *table.Backends) {
@@ -211,7 +234,7 @@
 		removed = ok && admission.Remove(queue, t.Rank, t.ID) || d.removeWaiting(h, t)
 		if removed {
 			countsOf(q, t).Abandoned++
-			d.recordOutcome(q, t, unsentOutcome(t))
+			d.recordOutcome(q, t, UnsentOutcome(t))
 		}
 	})
 	return removed
@@ -220,12 +243,12 @@
 // Abandoned returns the result of a ticket that was canceled while it waited.
 func Abandoned(t *table.Ticket) table.Result {
 	return table.Result{
-		Outcome: unsentOutcome(t), Evidence: fleet.Canceled, Attempts: t.Attempt, Err: endError(t.Context, t.Service),
+		Outcome: UnsentOutcome(t), Evidence: fleet.Canceled, Attempts: t.Attempt, Err: endError(t.Context, t.Service),
 	}
 }
 
-// unsentOutcome returns the outcome of a ticket that is not sent again. An earlier attempt may have run it.
-func unsentOutcome(t *table.Ticket) fleet.Outcome {
+// UnsentOutcome returns the outcome of a ticket that is not sent again. An earlier attempt may have run it.
+func UnsentOutcome(t *table.Ticket) fleet.Outcome {
 	if t.MayHaveRun {
 		return fleet.Unknown
 	}
--- a/pkg/dispatchcmd/errors.go
+++ b/pkg/dispatchcmd/errors.go
@@ -63,6 +63,16 @@
 	return fmt.Sprintf("servers of service %q turned the request away until its time was over; retry after %s", e.Service, e.RetryAfter)
 }
 
+// RepeatedError reports a request that another node may have sent before, and that this node does not send.
+type RepeatedError struct {
+	Service string
+	Reason  retry.Reason
+}
+
+func (e RepeatedError) Error() string {
+	return fmt.Sprintf("request for service %q may have been sent by another node and is not repeated: %s", e.Service, e.Reason)
+}
+
 // AttemptsError reports a request whose last attempt got no response.
 type AttemptsError struct {
 	Attempts int
--- a/pkg/dispatchcmd/patience.go
+++ b/pkg/dispatchcmd/patience.go
@@ -22,6 +22,9 @@
 
 // depositArrival adds the deposit of a request that arrived. Refused requests earn it too.
 func (d *Dispatcher) depositArrival(t *table.Ticket, now time.Time) {
+	if t.Repeated {
+		return // the node that forwarded the request has counted it
+	}
 	d.Tables.Budgets.Write(guard.Held{}, func(_ guard.Held, b *table.Budgets) {
 		if budget := d.budgetOf(b, t.Service); budget.Params.Patient {
 			retry.Deposit(budget)
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -97,7 +97,7 @@
 			reason = d.decidePatiently(b, a, r, w, left)
 			return
 		}
-		if t.Attempt == 0 {
+		if t.Attempt == 0 && !t.Repeated {
 			retry.Deposit(budget)
 		}
 		reason = retry.Decide(retryAttempt(a, r, left), budget)
@@ -218,7 +218,7 @@
 // unservedResult returns the result of a ticket that leaves the queue without a further attempt.
 func unservedResult(now time.Time, t *table.Ticket, err error) table.Result {
 	return table.Result{
-		Outcome: unsentOutcome(t), Attempts: t.Attempt, QueueDelay: now.Sub(t.Arrived), RetryAfter: RetryAfter(err), Err: err,
+		Outcome: UnsentOutcome(t), Attempts: t.Attempt, QueueDelay: now.Sub(t.Arrived), RetryAfter: RetryAfter(err), Err: err,
 	}
 }
 
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -131,8 +131,11 @@
 	PossibleRuns int
 	// Backups is the number of backup attempts.
 	Backups int
-	// MayHaveRun reports whether an earlier attempt may have run the request.
+	// MayHaveRun reports whether an earlier attempt may have run the request, at this node or at the one that forwarded it.
 	MayHaveRun bool
+	// Repeated reports whether another node may have sent the request before. The retry budget is then charged for the first
+	// attempt at this node.
+	Repeated bool
 }
 
 // Runner transfers the request and response of one ticket. Send and exactly one of Deliver and Discard are called for
--- a/service/api/headers.go
+++ b/service/api/headers.go
@@ -16,6 +16,8 @@
 	HeaderLeaving = "Egretline-Leaving"
 	// HeaderForwardedBy names the host that forwarded a request; such a request is not forwarded again.
 	HeaderForwardedBy = "Egretline-Forwarded-By"
+	// HeaderRepeated is "true" on a forwarded request that another node may have run.
+	HeaderRepeated = "Egretline-Repeated"
 	// HeaderKeyPrefix carries a valid idempotency key prefix in the response to a refused key.
 	HeaderKeyPrefix = "Egretline-Key-Prefix"
 	// HeaderIdempotencyKey carries the caller's idempotency key.
--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -77,6 +77,8 @@
 	Timeout   time.Duration
 	// Forwarded reports whether another node forwarded the request. It is then not forwarded again.
 	Forwarded bool
+	// Repeated reports whether the forwarding node may have sent the request to another node before. It may have run there.
+	Repeated bool
 }
 
 // ServeHTTP implements http.Handler for requests that arrive directly from callers.
@@ -88,7 +90,9 @@
 // access to the port for other nodes would give access to the data of every tenant.
 func (h *Handler) ForwardedHandler() http.Handler {
 	return http.StripPrefix(api.PathForward, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.serveRequest(w, r, request{ID: r.Header.Get(api.HeaderRequestID), Arrived: time.Now(), Forwarded: true})
+		h.serveRequest(w, r, request{
+			ID: r.Header.Get(api.HeaderRequestID), Arrived: time.Now(), Forwarded: true, Repeated: r.Header.Get(api.HeaderRepeated) == "true",
+		})
 	}))
 }
 
@@ -202,7 +206,7 @@
 		ID: req.ID, Service: req.Route.Service, Route: req.Route.Name, Rank: max(req.RankIndex, 0), Tenant: req.Tenant.Name,
 		Limits:     req.Tenant.Limits,
 		Idempotent: req.Route.Idempotent, Arrived: req.Arrived, Deadline: exchange.Deadline, Context: ctx,
-		Runner: exchange, Done: make(chan table.Result, 1),
+		Runner: exchange, Done: make(chan table.Result, 1), Repeated: req.Repeated,
 	}
 	if err := h.Dispatcher.Admit(req.Arrived, t); err != nil {
 		return table.Result{Outcome: fleet.NotRun, RetryAfter: dispatchcmd.RetryAfter(err), Err: err}
--- a/service/peer/forward.go
+++ b/service/peer/forward.go
@@ -36,7 +36,8 @@
 	Writer  http.ResponseWriter
 	Request *http.Request
 	// Targets lists the nodes to try in order. The next one is tried only if the request did not reach the previous one,
-	// or if it is idempotent and has no body.
+	// or if it is idempotent and has no body. In the latter case it is marked as repeated, and the next node charges its retry
+	// budget for it.
 	Targets    []fleet.Host
 	RequestID  string
 	Tenant     string
@@ -106,7 +107,7 @@
 	body := &sharedBody{source: req.Request.Body}
 	for _, target := range req.Targets[:min(len(req.Targets), maxTargetsPerRequest)] {
 		sent := result.Sent
-		result = f.tryTarget(req, target, body)
+		result = f.tryTarget(req, target, body, sent)
 		result.Sent = result.Sent || sent
 		if result.Response {
 			return result
@@ -127,10 +128,15 @@
 	return !r.Sent || (req.Idempotent && req.Request.ContentLength == 0)
 }
 
-func (f *Forwarder) tryTarget(req ForwardRequest, target fleet.Host, body *sharedBody) table.Result {
+// tryTarget forwards the request to one node. repeated reports whether it may have reached another node before.
+func (f *Forwarder) tryTarget(req ForwardRequest, target fleet.Host, body *sharedBody, repeated bool) table.Result {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	resp, err := f.Transport.RoundTrip(f.newOutgoingRequest(httptrace.WithClientTrace(req.Context, trace), req, target, body))
+	out := f.newOutgoingRequest(httptrace.WithClientTrace(req.Context, trace), req, target, body)
+	if repeated {
+		out.Header.Set(api.HeaderRepeated, "true")
+	}
+	resp, err := f.Transport.RoundTrip(out)
 	if err != nil {
 		if req.Context.Err() == nil {
 			f.Contacts.ObserveContact(target.ID, false, time.Now())
@@ -161,17 +167,15 @@
 		out.Header = http.Header{}
 	}
 	header.RemoveHopByHop(out.Header)
+	out.Header.Del(api.HeaderRepeated) // the caller's
 	out.Header.Set(api.HeaderForwardedBy, f.HostID)
 	out.Header.Set(api.HeaderTenant, req.Tenant)
 	out.Header.Set(api.HeaderRequestID, req.RequestID)
 	out.Header.Set(api.HeaderTimeout, strconv.FormatInt(max(1, time.Until(req.Deadline).Milliseconds()), 10))
-	// With GetBody the transport would replay a request without a body that has an Idempotency-Key when a reused
-	// connection breaks.
+	// With GetBody or without a body, the transport would send the request again by itself when a reused connection breaks. The
+	// other node may have sent it to a backend server.
 	out.GetBody = nil
 	out.Body = body
-	if req.Idempotent && req.Request.ContentLength == 0 {
-		out.Body = http.NoBody
-	}
 	return out
 }
 
--- a/service/peer/forward_test.go
+++ b/service/peer/forward_test.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// startMarkingNode starts a node that answers each request and sends its HeaderRepeated to the channel.
+func startMarkingNode(t *testing.T) (host fleet.Host, repeated chan string) {
+	t.Helper()
+	repeated = make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		repeated <- r.Header.Get(api.HeaderRepeated)
+		w.Header().Set(api.HeaderRequestID, r.Header.Get(api.HeaderRequestID))
+		w.Header().Set(api.HeaderOutcome, string(fleet.Answered))
+	}))
+	t.Cleanup(server.Close)
+	return fleet.Host{ID: "m", PeerAddress: server.Listener.Addr().String()}, repeated
+}
+
 func forward(t *testing.T, f *Forwarder, h ForwardRequest) table.Result {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -133,6 +146,37 @@
 		assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{first}}), fleet.Answered)
 		assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{first, second}, Idempotent: true}), fleet.Answered)
 	})
+	// Guards against arrivals at backend servers that no retry budget is charged for.
+	t.Run("an idempotent request is sent once over a reused connection that breaks", func(t *testing.T) {
+		f := newForwarder(t)
+		target, requests := startUnreliableNode(t)
+		assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{target}}), fleet.Answered)
+		get := httptest.NewRequest(http.MethodGet, "/loans/1", http.NoBody)
+		assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{target}, Idempotent: true, Request: get}), fleet.Unknown)
+		is.New(t).Equal(requests.Load(), int64(2))
+	})
+	t.Run("only a request that may have arrived is marked as repeated", func(t *testing.T) {
+		first, _ := startUnreliableNode(t)
+		for name, c := range map[string]struct {
+			before fleet.Host
+			want   string
+		}{"arrived": {first, "true"}, "unreachable": {unreachableHost(t), ""}} {
+			f := newForwarder(t)
+			second, repeated := startMarkingNode(t)
+			if name == "arrived" {
+				assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{first}}), fleet.Answered)
+			}
+			r := httptest.NewRequest(http.MethodGet, "/loans/1", http.NoBody)
+			r.Header.Set(api.HeaderRepeated, "set by the caller")
+			assertOutcome(t, forward(t, f, ForwardRequest{Targets: []fleet.Host{c.before, second}, Idempotent: true, Request: r}), fleet.Answered)
+			select {
+			case got := <-repeated:
+				is.New(t).Equal(got, c.want)
+			default:
+				t.Errorf("%s: the second node got no request", name)
+			}
+		}
+	})
 	t.Run("an unreachable node is skipped", func(t *testing.T) {
 		f := newForwarder(t)
 		second, _ := startUnreliableNode(t)
