service/caller: do not report a request as not run that another node may have run

A caller of "egretline serve" is told "not-run" of a lookup that a backend server may have run.

Cause: a node that gets a request forwarded after another node did not answer, and refuses it, gave the outcome from its own point of view. The forwarding node passes it on.

Change: the outcome of a refused request is unknown if it is marked as repeated.

Test: TestRefusedRepeatedRequest; both subtests of a repeated request failed before ("not-run" where "unknown" is right).

--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -106,7 +106,11 @@
 	}
 	req, err := h.resolveRoute(r, req)
 	if err != nil {
-		h.finish(w, req, table.Result{Outcome: refusalOutcome(r.Header), Err: err})
+		outcome := refusalOutcome(r.Header)
+		if req.Repeated {
+			outcome = fleet.Unknown
+		}
+		h.finish(w, req, table.Result{Outcome: outcome, Err: err})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.Arrived.Add(req.Timeout))
@@ -206,10 +210,10 @@
 		ID: req.ID, Service: req.Route.Service, Route: req.Route.Name, Rank: max(req.RankIndex, 0), Tenant: req.Tenant.Name,
 		Limits:     req.Tenant.Limits,
 		Idempotent: req.Route.Idempotent, Arrived: req.Arrived, Deadline: exchange.Deadline, Context: ctx,
-		Runner: exchange, Done: make(chan table.Result, 1), Repeated: req.Repeated,
+		Runner: exchange, Done: make(chan table.Result, 1), Repeated: req.Repeated, MayHaveRun: req.Repeated,
 	}
 	if err := h.Dispatcher.Admit(req.Arrived, t); err != nil {
-		return table.Result{Outcome: fleet.NotRun, RetryAfter: dispatchcmd.RetryAfter(err), Err: err}
+		return table.Result{Outcome: dispatchcmd.UnsentOutcome(t), RetryAfter: dispatchcmd.RetryAfter(err), Err: err}
 	}
 	select {
 	case result := <-t.Done:
