dispatchcmd: count repeated requests in the property test of the retry budget

What callers see does not change. The property test counted arrivals of retries, waits and backup attempts, but not of requests that another node may have sent before, whose first attempt at this node is an arrival beyond the first too.

--- a/pkg/dispatchcmd/arrivals_test.go
+++ b/pkg/dispatchcmd/arrivals_test.go
@@ -23,6 +23,12 @@
 	rng   *rand.Rand
 }
 
+func (a *arrivals) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count[id]++
+}
+
 // beyondFirst returns the number of arrivals beyond the first of each request.
 func (a *arrivals) beyondFirst() (n int) {
 	for _, count := range a.count {
@@ -55,9 +61,7 @@
 func (c *countedRunner) Send(ctx context.Context, _ fleet.BackendServer) table.Result {
 	result, d := c.Arrivals.draw()
 	if result.Sent {
-		c.Arrivals.mu.Lock()
-		c.Arrivals.count[c.ID]++
-		c.Arrivals.mu.Unlock()
+		c.Arrivals.add(c.ID)
 	}
 	select {
 	case <-time.After(d):
@@ -78,7 +82,7 @@
 }
 
 // Guards against arrivals at backend servers that the retry budget is not charged for, whoever sends them: retries, retries
-// after a wait for the budget, and backup attempts.
+// after a wait for the budget, backup attempts, and requests that another node may have sent before.
 func TestRetryBudgetProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		requests := rapid.IntRange(1, 60).Draw(rt, "requests")
@@ -90,6 +94,8 @@
 		counted := &arrivals{count: map[string]int{}, rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "results"), 1))}
 		gap := time.Duration(rapid.IntRange(0, 500).Draw(rt, "gap-ms")) * time.Millisecond
 		backup := rapid.Bool().Draw(rt, "backups")
+		repeated := rapid.SliceOfN(rapid.Bool(), requests, requests).Draw(rt, "repeated")
+		first := 0 // requests that no other node has sent
 		synctest.Test(t, func(*testing.T) {
 			f := newFixture(8, 4)
 			f.SetRetryBudgetParams(params)
@@ -101,6 +107,12 @@
 				if backup {
 					ticket.BackupDelay = time.Second
 				}
+				if ticket.Repeated = repeated[k]; ticket.Repeated {
+					counted.add(ticket.ID)
+					ticket.MayHaveRun = true
+				} else {
+					first++
+				}
 				running.Go(func() { f.roundTrip(ticket) })
 				time.Sleep(gap)
 				f.Sweep(time.Now())
@@ -112,7 +124,7 @@
 			running.Wait()
 			f.Close()
 		})
-		allowed := params.InitialBalance + params.Deposit*float64(requests)
+		allowed := params.InitialBalance + params.Deposit*float64(first)
 		if got := counted.beyondFirst(); float64(got) > allowed {
 			rt.Errorf("%d arrivals beyond the first of %d requests, want at most %.1f", got, requests, allowed)
 		}
