test/soak: bring the store back from an older copy

What callers see does not change. The soak did not play the drill of the users in which the store loses its newest records, gives out their offsets again and begins a new era.

The fault "store-restores" drops up to 60 of the newest records of each topic; leaving servers and the operator write again at once, the other servers with their next heartbeat.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -26,6 +26,7 @@
 	{"store-slow", storeFault(standin.StoreFaults{Delay: 200 * time.Millisecond})},
 	{"store-loses", storeFault(standin.StoreFaults{LoseReplies: true})},
 	{"store-forgets", func(_ context.Context, h *harness) { h.store.DropHistory() }},
+	{"store-restores", restoreStore},
 	{"store-cut", storeRelayFault(relay.Faults{CutToClient: true})},
 	{"store-refuses", storeRelayFault(relay.Faults{Refuse: true})},
 	{"config", func(_ context.Context, h *harness) { h.publishConfig() }},
@@ -43,6 +44,9 @@
 	{"cuts", backendModeFault(standin.ModeTruncateBody)}, {"drops", backendModeFault(standin.ModeDropConnection)},
 }
 
+// maxLostRecords bounds the records of a topic that are lost by a restored store. It is some seconds of heartbeats.
+const maxLostRecords = 60
+
 // sleepRandom waits for a random duration up to longest, or until the context ends.
 func (h *harness) sleepRandom(ctx context.Context, longest time.Duration) {
 	h.mu.Lock()
@@ -209,6 +213,19 @@
 	h.addBackend(ctx, b.ID+"n", b.Service)
 }
 
+// restoreStore brings the store back from an older copy. The operator and the servers then write again what it has lost.
+func restoreStore(_ context.Context, h *harness) {
+	h.mu.Lock()
+	h.store.RestoreAll(h.rng.Int64N(maxLostRecords))
+	for _, b := range h.backends {
+		if !b.leftAt.IsZero() {
+			h.store.Put(standin.TopicServers, b.ID, b.Registration(true, 0))
+		}
+	}
+	h.mu.Unlock()
+	h.publishConfig()
+}
+
 // putOddRecord leaves a record among those of the backend servers that no backend server writes.
 func putOddRecord(_ context.Context, h *harness) {
 	h.mu.Lock()
--- a/test/soak/harness_test.go
+++ b/test/soak/harness_test.go
@@ -208,9 +208,9 @@
 // announceLeaving ends the heartbeats of a backend server and registers it as leaving.
 func (h *harness) announceLeaving(b *backend) {
 	b.stopHeartbeats()
-	h.store.Put(standin.TopicServers, b.ID, b.Registration(true, 0))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.store.Put(standin.TopicServers, b.ID, b.Registration(true, 0))
 	b.leftAt = time.Now()
 }
 
