service: send an empty body with its length if net/http does not replay the request

Cause: every request got a non-nil body, and net/http sends a body of unknown length in chunks for methods that usually have one.

Change: only requests that net/http would replay (GET, HEAD, OPTIONS, TRACE, or with an idempotency key) get the non-nil body; for the others http.NoBody is safe. The same holds for requests forwarded to other nodes.

Test: TestEmptyBody; its subtests POST and PUT fail without the condition. TestIdempotentRequestIsSentOnce, TestNoTransportReplay and TestForward hold.

--- a/service/backend/exchange.go
+++ b/service/backend/exchange.go
@@ -15,6 +15,7 @@
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
 	"egretline.example/egretline/service/api"
+	"egretline.example/egretline/service/header"
 )
 
 // maxIdleResetDelay is the default of Exchange.MaxIdleResetDelay. It is far above the round-trip time between zones, and below
@@ -140,9 +141,11 @@
 	out.Header.Set(api.HeaderTenant, e.Tenant)
 	out.Header.Set(api.HeaderTimeout, strconv.FormatInt(time.Until(e.Deadline).Milliseconds(), 10))
 	out.GetBody = nil
-	// A non-nil body, even if it is empty, keeps the transport from sending the request again by itself when a reused connection
-	// breaks. The server may have run the request, and each arrival counts against the retry budget.
 	out.Body = &attemptBody{shared: e.body}
+	// The server may have run a request that the transport sends again, and each arrival counts against the retry budget.
+	if e.Idempotent && in.ContentLength == 0 && !header.TransportReplays(out.Method, out.Header) {
+		out.Body = http.NoBody // an empty body would be sent in chunks
+	}
 	return out
 }
 
--- a/service/backend/exchange_test.go
+++ b/service/backend/exchange_test.go
@@ -154,6 +154,25 @@
 	is.New(t).Equal(runs.Load(), int64(2)) // each request was received once
 }
 
+// Guards against servers that reject a request in chunks, and against a body where there is none.
+func TestEmptyBody(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			var got *http.Request
+			address := newServer(t, func(_ http.ResponseWriter, r *http.Request) { got = r })
+			transport := NewTransport()
+			t.Cleanup(transport.CloseIdleConnections)
+			e := NewExchange(transport, newRequest(method, ""), httptest.NewRecorder())
+			e.RequestID, e.Idempotent = "request", true
+			is := is.New(t)
+			is.NoErr(e.Send(context.Background(), fleet.BackendServer{Address: address}).Err)
+			e.Discard()
+			is.Equal(got.ContentLength, int64(0))
+			is.Equal(len(got.TransferEncoding), 0)
+		})
+	}
+}
+
 // Guards against arrivals at a backend server that the retry budget does not know of, and against evidence against a sound
 // server that closed an idle connection.
 func TestIdempotentRequestIsSentOnce(t *testing.T) {
--- a/service/header/header.go
+++ b/service/header/header.go
@@ -1,4 +1,5 @@
-// Package header removes HTTP headers that must not be forwarded to the next server or client.
+// Package header removes HTTP headers that must not be forwarded to the next server or client, and tells which requests net/http
+// sends again by itself.
 package header
 
 import (
--- a/service/peer/forward.go
+++ b/service/peer/forward.go
@@ -172,10 +172,12 @@
 	out.Header.Set(api.HeaderTenant, req.Tenant)
 	out.Header.Set(api.HeaderRequestID, req.RequestID)
 	out.Header.Set(api.HeaderTimeout, strconv.FormatInt(max(1, time.Until(req.Deadline).Milliseconds()), 10))
-	// With GetBody or without a body, the transport would send the request again by itself when a reused connection breaks. The
-	// other node may have sent it to a backend server.
+	// The other node may have sent a request to a backend server that the transport sends again.
 	out.GetBody = nil
 	out.Body = body
+	if req.Idempotent && req.Request.ContentLength == 0 && !header.TransportReplays(out.Method, out.Header) {
+		out.Body = http.NoBody // an empty body would be sent in chunks
+	}
 	return out
 }
 
