logs: show the age of the registry at the sending of a request, and held removals

Cause of this change: the line of a request had the age of the registry at its end only, and nothing told that the removal of a server was held after an outage of the log, so that a request sent with old knowledge and a held removal looked the same. Change: 'request finished' and 'attempt failed' have sent-registry-age-ms; a held removal has a line with the end of the outage. Evidence: the tests of the packages pass; no decision changes.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -60,6 +60,8 @@
 	Idempotent bool
 	// ResponseDeadline is when the response headers are due. The backend server is sent the time that is left until then.
 	ResponseDeadline time.Time
+	// RegistryAge returns the age of what the node knows of the backend servers, for the log. It may be nil.
+	RegistryAge func() time.Duration
 
 	conn     *Conn
 	response *http.Response
@@ -71,6 +73,8 @@
 	// idleClosed reports whether an earlier attempt found that the server had closed an idle connection. Further attempts open
 	// connections, because the others that are idle may be closed too.
 	idleClosed bool
+	// sentRegistryAge is the value of RegistryAge when the last Send sent the request; zero if it did not.
+	sentRegistryAge time.Duration
 	// notice is what the server asked for in the responses read by the last Send.
 	notice serverNotice
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
@@ -104,7 +108,7 @@
 	return &Exchange{
 		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Delivery: e.Delivery,
 		RequestID: e.RequestID, Customer: e.Customer, DropCredentials: e.DropCredentials, Idempotent: e.Idempotent,
-		ResponseDeadline: e.ResponseDeadline,
+		ResponseDeadline: e.ResponseDeadline, RegistryAge: e.RegistryAge,
 	}
 }
 
@@ -116,12 +120,13 @@
 		return table.Result{Evidence: fleet.Canceled, Err: CallerLeftError{}}
 	}
 	started := time.Now()
-	e.notice = serverNotice{}
+	e.notice, e.sentRegistryAge = serverNotice{}, 0
 	result := e.sendOnce(ctx, s, started)
 	if ctx.Err() == nil && e.endedIdleConn(result.Err, started) {
 		result.Evidence, e.idleClosed = fleet.IdleClosed, true
 	}
 	result.Latency = time.Since(started)
+	result.RegistryAge = e.sentRegistryAge
 	result.Bytes = e.exchangedBytes()
 	result.BodyLost = e.RemainingBody != nil && result.Sent
 	result.Leaving, result.PauseFor, result.PauseErr = e.notice.Leaving, e.notice.PauseFor, e.notice.PauseErr
@@ -180,6 +185,9 @@
 	}
 	e.conn = c
 	e.stopAbort = context.AfterFunc(ctx, c.Abort)
+	if e.RegistryAge != nil {
+		e.sentRegistryAge = e.RegistryAge()
+	}
 	sent, err := e.writeRequest(s)
 	if err != nil {
 		return e.failedResult(ctx, s, stageRequest, sent, started, err)
--- a/internal/decide/registry/registry.go
+++ b/internal/decide/registry/registry.go
@@ -69,20 +69,22 @@
 }
 
 // Remove removes an instance. The time outageEnd is the end of the last log outage, or zero if there was none. The
-// removal of an entry shortly after that is delayed, which gives a live server time to register again.
-func Remove(s *State, instance string, outageEnd, now time.Time) {
+// removal of an entry shortly after that is delayed, which gives a live server time to register again. Remove returns the
+// time at which a delayed removal takes effect, or zero.
+func Remove(s *State, instance string, outageEnd, now time.Time) time.Time {
 	e, known := s.Entries[instance]
 	if !known {
-		return
+		return time.Time{}
 	}
 	if e.Draining || outageEnd.IsZero() || now.Sub(outageEnd) > expiryAfterOutageInterval {
 		delete(s.Entries, instance)
-		return
+		return time.Time{}
 	}
 	if e.RemoveAt.IsZero() {
 		e.RemoveAt = outageEnd.Add(reregistrationTimeout)
 		s.Entries[instance] = e
 	}
+	return e.RemoveAt
 }
 
 // RemoveExpired deletes the entries whose pending removal is due, and reports whether there were any.
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -225,7 +225,7 @@
 		Pool: h.Pool, Gate: h.Gate, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
 		RemainingBody: req.RemainingBody, Delivery: delivery, RequestID: req.ID, Customer: req.Customer.Name,
 		DropCredentials: req.DropCredentials, Idempotent: req.Route.Idempotent,
-		ResponseDeadline: req.ResponseDeadline,
+		ResponseDeadline: req.ResponseDeadline, RegistryAge: h.RegistryAge,
 	}
 	if req.RemainingBody != nil {
 		// net/http notices that the caller has left only once the whole body has been read.
@@ -382,6 +382,7 @@
 		Str("customer", req.Customer.Name).
 		Int64("revision", req.ConfigRevision).
 		Dur("registry-age-ms", h.RegistryAge()).
+		Dur("sent-registry-age-ms", result.RegistryAge).
 		Str("outcome", string(result.Outcome)).
 		Int("status", status).
 		Dur("duration-ms", time.Since(req.Arrived)).
--- a/internal/node/entrynode/gossip.go
+++ b/internal/node/entrynode/gossip.go
@@ -119,7 +119,8 @@
 		Str("backend-server", a.Server.Address).Str("instance", a.Server.Instance).Str("evidence", string(r.Evidence)).
 		Int("status", r.Status).Bool("sent", r.Sent).Int("attempt", a.Ticket.Attempt+1).
 		Stringer("standing", a.BreakerState).Int("outstanding", a.Outstanding).Dur("quiet-ms", a.SinceLastFailure).
-		Bool("leaving", r.Leaving).Dur("pause-ms", r.PauseFor).Dur("latency-ms", r.Latency).AnErr("error", r.Err).Msg("attempt failed")
+		Bool("leaving", r.Leaving).Dur("pause-ms", r.PauseFor).Dur("latency-ms", r.Latency).
+		Dur("sent-registry-age-ms", r.RegistryAge).AnErr("error", r.Err).Msg("attempt failed")
 }
 
 // gossipLoop sends evidence about backend servers to the other entry hosts.
--- a/internal/replica/replicacmd/replicacmd.go
+++ b/internal/replica/replicacmd/replicacmd.go
@@ -157,7 +157,10 @@
 			Msg("backend server registered")
 	}
 	for _, key := range changes.Removed {
-		registry.Remove(s, key, topic.OutageEnd, now)
+		if removeAt := registry.Remove(s, key, topic.OutageEnd, now); !removeAt.IsZero() {
+			c.Logger.Info().Str("instance", key).Dur("outage-ended-ms", now.Sub(topic.OutageEnd)).Dur("held-ms", removeAt.Sub(now)).
+				Msg("removal of backend server held; its registration may have expired during the outage of the log")
+		}
 	}
 }
 
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -40,9 +40,9 @@
 func (d *Dispatcher) finish(a table.Assignment, r table.Result, reason retry.Reason) table.Result {
 	t := a.Ticket
 	if r.Response {
-		latency, bodyBytes := r.Latency, r.Bytes
+		sent := r
 		r = t.Runner.Deliver(t.Context)
-		r.Latency, r.Bytes = latency, bodyBytes
+		r.Latency, r.Bytes, r.RegistryAge = sent.Latency, sent.Bytes, sent.RegistryAge
 	} else {
 		t.Runner.Discard()
 		r.Outcome = retry.Outcome(retryAttempt(a, r, 0))
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -163,6 +163,8 @@
 	Aborted bool
 	// Latency is the time until the response headers arrived.
 	Latency time.Duration
+	// RegistryAge is the age of what the node knew of the backend servers when it sent the request; zero if it was not sent.
+	RegistryAge time.Duration
 	// Bytes is the size of the bodies of request and response, as far as it is known when the response starts.
 	Bytes int64
 	// Leaving reports whether the backend server announced that it is leaving.
