--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -33,10 +33,17 @@
 
 // Gate tells whether a backend server may still get a request that was assigned to it.
 type Gate interface {
-	// CheckSend returns an error if the server has asked for no more requests since.
+	// CheckSend returns an error if the server has asked for no more requests since, or is not registered any more.
 	CheckSend(now time.Time, s fleet.BackendServer) error
 }
 
+// Resumption delays requests while the node brings what it knows of the backend servers up to date.
+type Resumption interface {
+	// AwaitRefresh returns at once, unless the process was paused and a refresh is in progress. It then waits for the refresh for
+	// a bounded time.
+	AwaitRefresh(ctx context.Context)
+}
+
 // Exchange forwards one request of a caller to a backend server and sends the response back. It implements table.Runner.
 type Exchange struct {
 	Pool    *Pool
@@ -60,6 +67,8 @@
 	Idempotent bool
 	// ResponseDeadline is when the response headers are due. The backend server is sent the time that is left until then.
 	ResponseDeadline time.Time
+	// Resumption may be nil.
+	Resumption Resumption
 	// RegistryAge returns the age of what the node knows of the backend servers, for the log. It may be nil.
 	RegistryAge func() time.Duration
 
@@ -108,7 +117,7 @@
 	return &Exchange{
 		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Delivery: e.Delivery,
 		RequestID: e.RequestID, Customer: e.Customer, DropCredentials: e.DropCredentials, Idempotent: e.Idempotent,
-		ResponseDeadline: e.ResponseDeadline, RegistryAge: e.RegistryAge,
+		ResponseDeadline: e.ResponseDeadline, Resumption: e.Resumption, RegistryAge: e.RegistryAge,
 	}
 }
 
@@ -179,6 +188,9 @@
 	if err != nil {
 		return table.Result{Evidence: connectEvidence(ctx), Err: err}
 	}
+	if e.Resumption != nil {
+		e.Resumption.AwaitRefresh(ctx)
+	}
 	if err := e.Gate.CheckSend(time.Now(), s); err != nil {
 		c.Close()
 		return table.Result{Evidence: fleet.Withheld, Err: err}
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -22,6 +22,7 @@
 	"egretline.example/egretline/internal/front/callerconn"
 	"egretline.example/egretline/internal/front/hostfront"
 	"egretline.example/egretline/internal/http/dialect"
+	"egretline.example/egretline/internal/pause/pausecmd"
 	"egretline.example/egretline/internal/peer/peerclient"
 	"egretline.example/egretline/internal/peer/peerserver"
 	"egretline.example/egretline/internal/replica/replicacmd"
@@ -128,6 +129,7 @@
 	rosterCommands  *rostercmd.Commands
 	replicaCommands *replicacmd.Commands
 	health          *healthGossiper
+	pauses          *pausecmd.Commands
 	peers           *peerclient.Client
 	conns           *http1.Pool
 
@@ -140,6 +142,7 @@
 	peerContext     context.Context
 	cancelPeerCalls context.CancelFunc
 	syncPool        *pool.Pool[fleet.Host]
+	refreshPool     *pool.Pool[refreshJob]
 	evidencePool    *pool.Pool[evidenceMessage]
 	reportPool      *pool.Pool[reportMessage]
 	reports         reportExchange
@@ -192,6 +195,7 @@
 	n.seeds.Store(&o.Seeds)
 	n.listedInEra.Store(notListed)
 	n.reports.zones = zonecmd.New(t, o.Zones, logger)
+	n.pauses = pausecmd.New(t, n.refreshAfterPause, logger)
 	n.health = newHealthGossiper(&healthcmd.Commands{Tables: t}, logger)
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
@@ -200,11 +204,12 @@
 	n.Dispatcher.AvailabilityZone = o.Self.AvailabilityZone
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.syncPool = pool.New("sync", syncWorkers, syncWorkers, n.sync)
+	n.refreshPool = pool.New("refresh", refreshWorkers, refreshWorkers, n.runRefresh)
 	n.evidencePool = pool.New("tell", gossipWorkers, gossipQueueLength, n.sendEvidence)
 	n.reportPool = pool.New("report", reportWorkers, reportQueueLength, n.sendReport)
 	front := &hostfront.Handler{
 		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns,
-		Gate: &healthquery.Queries{Tables: t}, Transfers: transfercmd.New(t, cmp.Or(o.HeldBytes, defaultHeldBytes), logger), Headers: o.Headers,
+		Gate: sendGate{Notices: &healthquery.Queries{Tables: t}, Replicas: n.Replicas}, Resumption: n.pauses, Transfers: transfercmd.New(t, cmp.Or(o.HeldBytes, defaultHeldBytes), logger), Headers: o.Headers,
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
 		RegistryAge:      func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
 		ConfigurationAge: func() time.Duration { return n.Replicas.Age(table.TopicConfiguration, time.Now()) },
@@ -281,6 +286,7 @@
 	done.Wait()
 	n.closeServers()
 	n.syncPool.Close()
+	n.refreshPool.Close()
 	n.evidencePool.Close()
 	n.reportPool.Close()
 	n.Logger.Info().Msg("node has stopped")
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -169,6 +169,7 @@
 
 // sync exchanges membership and replica updates with one host.
 func (n *Node) sync(h fleet.Host) {
+	n.pauses.Observe()
 	requestedAt := time.Now()
 	cursors, eras := n.Replicas.Cursors()
 	request := peerapi.SyncRequest{
@@ -226,7 +227,7 @@
 	var resume time.Time
 	callPeriodically(ctx, ageCheckInterval, func(int) {
 		now := time.Now()
-		if now.Before(resume) || !n.needsLogRead(started, now) {
+		if n.pauses.Refreshing() || now.Before(resume) || !n.needsLogRead(started, now) {
 			return
 		}
 		if n.refreshReplicas(ctx) {
@@ -319,6 +320,7 @@
 }
 
 func (n *Node) sweep(now time.Time) {
+	n.pauses.Observe()
 	if n.replicaCommands.Expire(now) {
 		n.applyConfiguration()
 	}
--- a/internal/replica/replicaquery/replicaquery.go
+++ b/internal/replica/replicaquery/replicaquery.go
@@ -63,6 +63,15 @@
 	return records
 }
 
+// IsRegistered reports whether the run of a backend server is registered and not draining.
+func (q *Queries) IsRegistered(instance string) (registered bool) {
+	q.Tables.Replicas.Read(guard.Held{}, func(_ guard.Held, r *table.Replicas) {
+		e, known := r.Registry.Entries[instance]
+		registered = known && !e.Draining
+	})
+	return registered
+}
+
 // Slots returns the total number of slots of the backend servers that are registered for a configured service.
 func (q *Queries) Slots() (slots int) {
 	q.Tables.Config.Read(guard.Held{}, func(h guard.Held, v *table.Config) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -16,7 +16,8 @@
 
 // Lock order of the tables: a goroutine acquires locks in ascending rank.
 const (
-	RankConfig guard.Rank = iota + 1
+	RankPauses guard.Rank = iota + 1
+	RankConfig
 	RankReplicas
 	RankMembers
 	RankRoster
@@ -32,6 +33,7 @@
 
 // Tables is the shared state of one node.
 type Tables struct {
+	Pauses   *guard.Guard[Pauses]
 	Config   *guard.Guard[Config]
 	Replicas *guard.Guard[Replicas]
 	Members  *guard.Guard[Members]
@@ -50,6 +52,7 @@
 // New returns empty tables for the node on the given host.
 func New(self fleet.Host, incarnation string) *Tables {
 	return &Tables{
+		Pauses:    guard.New(RankPauses, Pauses{}),
 		Config:    guard.New(RankConfig, Config{}),
 		Replicas:  guard.New(RankReplicas, newReplicas()),
 		Members:   guard.New(RankMembers, newMembers(self, incarnation)),
