replica: do not take a pause of the process for an outage of the log

What callers saw: a host that was suspended for 2.2 s sent requests to servers that had left for up to 2.5 s more after it had learned of their removal; hosts that started with its copy did so too. Cause: the removal of a server is held for 2.5 s after an outage of the log, and an outage was a gap of 2.5 s between two copies. The time of a pause was part of that gap. Change: replicas and the copies that are sent carry the time for which their process was paused, which is no silence of the log. A process that was paused takes the end of an outage from its peers.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -12,6 +12,8 @@
 	"bytes"
 	"slices"
 	"time"
+
+	"egretline.example/egretline/internal/decide/pause"
 )
 
 // maxTombstones bounds the number of tombstones in a replica. A peer that lags behind further gets a full copy.
@@ -44,6 +46,10 @@
 	Incomplete bool
 	// AsOf is a time at which the log held no newer record.
 	AsOf time.Time
+	// Paused is the part of the time since AsOf in which the process of the sender was paused.
+	Paused time.Duration
+	// OutageEnd is the end of the last outage of the log that the sender noticed; zero if there was none.
+	OutageEnd time.Time
 }
 
 // State is a replica of one topic. The zero value is an empty replica.
@@ -58,6 +64,9 @@
 	Next int64
 	// AsOf is the newest time at which the replica is known to have been complete; zero if it never was.
 	AsOf time.Time
+	// Paused is the part of the time since AsOf in which the process that had the replica was paused. The log may have been
+	// available meanwhile.
+	Paused time.Duration
 	// OutageEnd is the time of the last update that ended an outage of the log or began an era; zero if there was none.
 	OutageEnd time.Time
 }
@@ -86,9 +95,7 @@
 	if b.Era > s.Era {
 		beginEra(s, b.Era, now)
 	}
-	if !s.AsOf.IsZero() && b.AsOf.Sub(s.AsOf) > minOutageDuration {
-		s.OutageEnd = now
-	}
+	observeOutage(s, b, now)
 	var c Changes
 	for _, r := range b.Records {
 		applyRecord(s, r, b.Uncompacted, equal, &c)
@@ -99,12 +106,35 @@
 	c.keepFinalChanges(s)
 	s.Next = max(s.Next, b.Next)
 	if b.AsOf.After(s.AsOf) {
-		s.AsOf = b.AsOf
+		s.AsOf, s.Paused = b.AsOf, b.Paused
 	}
 	trimTombstones(s)
 	return c
 }
 
+// observeOutage records the end of an outage of the log. A process that was paused cannot tell how long the log was silent, and
+// takes the word of a peer for it. Otherwise peers are not believed: one that was cut off takes that for an outage.
+func observeOutage(s *State, b Batch, now time.Time) {
+	if s.AsOf.IsZero() {
+		return
+	}
+	if b.AsOf.Sub(s.AsOf)-s.Paused > minOutageDuration {
+		s.OutageEnd = now
+	}
+	if s.Paused > 0 && b.OutageEnd.After(s.OutageEnd) {
+		s.OutageEnd = b.OutageEnd
+	}
+}
+
+// ObservePause corrects the replica after a pause of the process.
+func ObservePause(s *State, p pause.Pause) {
+	if s.AsOf.IsZero() {
+		return
+	}
+	s.AsOf = s.AsOf.Add(-p.Hidden)
+	s.Paused += p.Length
+}
+
 // beginEra prepares the replica for the first copy of a new era, which replaces all records. The keys that are missing in it
 // count as removed during an outage, because other writers are still writing again what the log has lost.
 func beginEra(s *State, era int64, now time.Time) {
@@ -197,7 +227,10 @@
 // copy if the tombstones do not reach back to that offset or the era is over, and no records if the replica is itself behind
 // in an earlier era.
 func Delta(s *State, era, next int64) Batch {
-	b := Batch{Era: s.Era, Next: s.Next, AsOf: s.AsOf, Full: era < s.Era || era == s.Era && next < s.DeltasFrom}
+	b := Batch{
+		Era: s.Era, Next: s.Next, AsOf: s.AsOf, Paused: s.Paused, OutageEnd: s.OutageEnd,
+		Full: era < s.Era || era == s.Era && next < s.DeltasFrom,
+	}
 	if era > s.Era {
 		return b
 	}
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"egretline.example/egretline/internal/decide/pause"
 )
 
 var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -80,6 +82,57 @@
 	})
 }
 
+// assertOutageEnd applies a batch and compares the end of the last outage that the replica knows of; zero if it knows of none.
+func assertOutageEnd(t *testing.T, s *State, b Batch, want time.Time) {
+	t.Helper()
+	Apply(s, b, nil, b.AsOf)
+	is.New(t).Equal(s.OutageEnd, want)
+}
+
+// Guards against a pause of a process that is taken for an outage of the log: the removals of servers that have left were then held
+// for 2.5 s, at the node that was paused and at those that started with its copy (docs/incidents/041).
+func TestPauseIsNoOutage(t *testing.T) {
+	const length = 3 * time.Second
+	before, after := startTime, startTime.Add(length+time.Second)
+	paused := func() *State {
+		s := &State{}
+		Apply(s, Batch{AsOf: before, Full: true}, nil, before)
+		ObservePause(s, pause.Pause{Length: length})
+		return s
+	}
+	t.Run("at the node that was paused", func(t *testing.T) {
+		s := paused()
+		assertOutageEnd(t, s, Batch{AsOf: after}, time.Time{})
+		is.New(t).Equal(s.Paused, time.Duration(0))
+	})
+	t.Run("at a node that started with its copy", func(t *testing.T) {
+		var s State
+		assertOutageEnd(t, &s, Delta(paused(), 0, 0), time.Time{})
+		assertOutageEnd(t, &s, Batch{AsOf: after}, time.Time{})
+	})
+	t.Run("an outage beside a short pause is noticed", func(t *testing.T) {
+		end := after.Add(minOutageDuration)
+		assertOutageEnd(t, paused(), Batch{AsOf: end}, end)
+	})
+	t.Run("a process that was paused learns of an outage from a peer", func(t *testing.T) {
+		end := after.Add(-100 * time.Millisecond)
+		assertOutageEnd(t, paused(), Batch{AsOf: after, OutageEnd: end}, end)
+	})
+	// A peer that was cut off takes that for an outage.
+	t.Run("a process that was not paused does not", func(t *testing.T) {
+		var s State
+		Apply(&s, Batch{AsOf: after, Full: true}, nil, after)
+		assertOutageEnd(t, &s, Batch{AsOf: after.Add(time.Second), OutageEnd: after}, time.Time{})
+	})
+	t.Run("a suspended host counts the time that its clock missed", func(t *testing.T) {
+		s := &State{}
+		Apply(s, Batch{AsOf: before, Full: true}, nil, before)
+		ObservePause(s, pause.Pause{Length: length, Hidden: length})
+		is.New(t).Equal(Age(s, before.Add(time.Second)), length+time.Second)
+		assertOutageEnd(t, s, Batch{AsOf: before.Add(time.Second)}, time.Time{})
+	})
+}
+
 func TestEqualValues(t *testing.T) {
 	// Guards against a backend server that stays unknown to a node. One replica recorded the removal of its registration;
 	// another one missed the removal and took the new registration for the old one.
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -218,7 +218,7 @@
 	}
 	peer := &peerserver.Server{
 		RosterCommands: n.rosterCommands, Roster: n.Roster, Replicas: n.Replicas, Health: n.health, Reports: &n.reports,
-		Logger: logger,
+		Pauses: n.pauses, Logger: logger,
 	}
 	for _, l := range []Listener{
 		{Name: callerListener, Address: o.Self.CallerAddress, Handler: front},
--- a/internal/pause/pausecmd/pausecmd.go
+++ b/internal/pause/pausecmd/pausecmd.go
@@ -1,5 +1,5 @@
 // Package pausecmd notices pauses of the node's process, and keeps the node from acting on what it knew before. It writes the
-// Pauses table.
+// Pauses table, and corrects the Replicas table.
 package pausecmd
 
 import (
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"egretline.example/egretline/internal/decide/pause"
+	"egretline.example/egretline/internal/decide/replica"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
 )
@@ -51,11 +52,16 @@
 func (c *Commands) Observe() {
 	var p pause.Pause
 	var paused bool
-	c.Tables.Pauses.Write(guard.Held{}, func(_ guard.Held, v *table.Pauses) {
+	c.Tables.Pauses.Write(guard.Held{}, func(h guard.Held, v *table.Pauses) {
 		// The clocks are read under the lock, so that the readings are in order.
 		if p, paused = pause.Observe(&v.State, c.ReadClocks()); !paused {
 			return
 		}
+		c.Tables.Replicas.Write(h, func(_ guard.Held, r *table.Replicas) {
+			for _, s := range r.Topics {
+				replica.ObservePause(s, p)
+			}
+		})
 		refreshed := make(chan struct{})
 		v.Refreshed = refreshed
 		go func() {
--- a/internal/peer/peerapi/peerapi.go
+++ b/internal/peer/peerapi/peerapi.go
@@ -60,9 +60,14 @@
 	Next int64 `json:"next"`
 	// Full reports whether the batch covers the whole topic. Keys without a record in it then do not exist.
 	Full bool `json:"whole,omitempty"`
-	// AgeMs is the time since the replica was known to be complete, in milliseconds.
-	AgeMs   int64    `json:"age-ms"`
-	Records []Record `json:"records,omitempty"`
+	// AgeMs is the time since the replica was known to be complete, in milliseconds, and PausedMs the part of it in which the
+	// process of the sender was paused.
+	AgeMs    int64 `json:"age-ms"`
+	PausedMs int64 `json:"paused-ms,omitempty"`
+	// OutageEndedMs is the time since the end of the last outage of the log that the sender noticed, in milliseconds; zero if
+	// there was none.
+	OutageEndedMs int64    `json:"outage-ended-ms,omitempty"`
+	Records       []Record `json:"records,omitempty"`
 }
 
 // Record is the wire format of a topic record.
@@ -148,7 +153,12 @@
 
 // BatchMessage converts a batch to its wire format.
 func BatchMessage(b replica.Batch, now time.Time) Batch {
-	m := Batch{Era: b.Era, Next: b.Next, Full: b.Full, AgeMs: now.Sub(b.AsOf).Milliseconds()}
+	m := Batch{
+		Era: b.Era, Next: b.Next, Full: b.Full, AgeMs: now.Sub(b.AsOf).Milliseconds(), PausedMs: b.Paused.Milliseconds(),
+	}
+	if !b.OutageEnd.IsZero() {
+		m.OutageEndedMs = max(1, now.Sub(b.OutageEnd).Milliseconds())
+	}
 	for _, r := range b.Records {
 		m.Records = append(m.Records, Record(r))
 	}
@@ -158,7 +168,12 @@
 // ReplicaBatch converts the message to a batch. The age counts from the time at which the request was sent, which
 // avoids underestimating it.
 func (b Batch) ReplicaBatch(sent time.Time) replica.Batch {
-	batch := replica.Batch{Era: b.Era, Next: b.Next, Full: b.Full, AsOf: sent.Add(-boundedAge(b.AgeMs))}
+	batch := replica.Batch{
+		Era: b.Era, Next: b.Next, Full: b.Full, AsOf: sent.Add(-boundedAge(b.AgeMs)), Paused: boundedAge(b.PausedMs),
+	}
+	if b.OutageEndedMs > 0 {
+		batch.OutageEnd = sent.Add(-boundedAge(b.OutageEndedMs))
+	}
 	for _, r := range b.Records {
 		batch.Records = append(batch.Records, replica.Record(r))
 	}
--- a/internal/peer/peerserver/peerserver.go
+++ b/internal/peer/peerserver/peerserver.go
@@ -41,6 +41,11 @@
 	ObserveReport(now time.Time, m peerapi.Report) peerapi.Report
 }
 
+// PauseObserver notices a pause of the process that has ended.
+type PauseObserver interface {
+	Observe()
+}
+
 // Server responds to other nodes from the tables of this node.
 type Server struct {
 	RosterCommands *rostercmd.Commands
@@ -48,7 +53,9 @@
 	Replicas       *replicaquery.Queries
 	Health         EvidenceObserver
 	Reports        ReportObserver
-	Logger         zerolog.Logger
+	// Pauses notices a pause of the process before the replicas are sent; nil if pauses are not noticed.
+	Pauses PauseObserver
+	Logger zerolog.Logger
 }
 
 // Handler returns the HTTP handler for all peer paths.
@@ -65,6 +72,9 @@
 	if !s.decodeMessage(w, r, &m) || !s.checkSender(w, m.From) {
 		return
 	}
+	if s.Pauses != nil {
+		s.Pauses.Observe()
+	}
 	now := time.Now()
 	s.RosterCommands.RecordContact(now, m.From.Announcement())
 	digest := s.Roster.ContactsDigest(now)
