entrynode: keep the entry hosts until others have been asked after a pause

What callers saw: a host that had just been suspended named wrong entry hosts to callers, who keep that answer for its time to live. Cause: after a pause the last contact with every other host is old, so that all of them counted as dead until the next message; a request that timed out during the pause counted against its host for 3 s.

--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -180,7 +180,9 @@
 	now := time.Now()
 	if err != nil {
 		n.Logger.Warn().Err(err).Str("peer", h.ID).Str("address", h.PeerAddress).Msg("cannot synchronize state with peer")
-		n.rosterCommands.RecordFailure(now, h.ID)
+		if !n.pauses.PausedSince(requestedAt) { // the timeout may have passed during a pause
+			n.rosterCommands.RecordFailure(now, h.ID)
+		}
 		return
 	}
 	if err := response.From.Check(); err != nil {
@@ -328,12 +330,20 @@
 	n.Dispatcher.Sweep(now)
 	n.logStandingQueues(now)
 	n.conns.CloseExpired(now)
-	n.rosterCommands.SelectEntryHosts(now, n.fleetLoad())
+	n.selectEntryHosts(now)
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
 	n.Dispatcher.SetSharing(n.sharing())
 	n.reports.quotas.Sweep(now, n.otherEntryHosts(), n.isEntryHost(n.Roster.EntryHosts()))
 }
 
+// selectEntryHosts selects the entry hosts from the live hosts. After a pause of the process all contacts are old, and the
+// selection waits for the refresh.
+func (n *Node) selectEntryHosts(now time.Time) {
+	if !n.pauses.Refreshing() {
+		n.rosterCommands.SelectEntryHosts(now, n.fleetLoad())
+	}
+}
+
 // logStandingQueues logs the begin and the end of standing queues.
 func (n *Node) logStandingQueues(now time.Time) {
 	for _, c := range n.Dispatcher.StandingChanges(now) {
@@ -491,7 +501,7 @@
 // announceLeaving notifies the registrars that the node is leaving.
 func (n *Node) announceLeaving() {
 	now := time.Now()
-	n.rosterCommands.SelectEntryHosts(now, n.fleetLoad())
+	n.selectEntryHosts(now)
 	for _, h := range n.Roster.Registrars() {
 		n.submitSync(h)
 	}
--- a/internal/node/entrynode/pause_test.go
+++ b/internal/node/entrynode/pause_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"egretline.example/egretline/internal/decide/replica"
 	"egretline.example/egretline/internal/http/dialect"
 	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
@@ -47,6 +49,8 @@
 	Arrived [2]atomic.Int32
 	// Answering reports whether the registrar answers.
 	Answering atomic.Bool
+	// PausedBySync makes the process pause while its request is at the registrar.
+	PausedBySync atomic.Bool
 	// paused is what the clocks show beyond the time that has passed.
 	paused atomic.Int64
 }
@@ -97,6 +101,9 @@
 
 // sync answers as a registrar that has seen the removal of the first server, or not at all.
 func (f *pauseFixture) sync(w http.ResponseWriter, r *http.Request) {
+	if f.PausedBySync.Load() {
+		f.pause(2200 * time.Millisecond)
+	}
 	if !f.Answering.Load() {
 		_, _ = io.Copy(io.Discard, r.Body) // the server notices only then that the client has left
 		<-r.Context().Done()
@@ -173,3 +180,52 @@
 		is.True(!f.Node.pauses.Refreshing())
 	})
 }
+
+// Guards against a host that takes all other hosts for dead after a pause, because it has not heard from them meanwhile. It chose
+// other entry hosts until it heard from them again, and named those to callers (docs/incidents/042).
+func TestEntryHostsAfterPause(t *testing.T) {
+	const length = 4 * time.Second
+	newFixture := func(t *testing.T) (f *pauseFixture, now time.Time) {
+		t.Helper()
+		f, now = newPauseFixture(t), time.Now()
+		other := fleet.Host{ID: "other", AvailabilityZone: "b", PeerAddress: (*f.Node.seeds.Load())[0]}
+		f.Node.rosterCommands.RecordContact(now, rostercmd.Announcement{Host: other, Ready: true})
+		f.Node.sweep(now)
+		assertEntryHosts(t, f.Node, "other", "self")
+		return f, now
+	}
+	t.Run("the entry hosts stay until others have been asked", func(t *testing.T) {
+		f, now := newFixture(t)
+		f.Answering.Store(false)
+		f.pause(length)
+		f.Node.sweep(now.Add(length))
+		assertEntryHosts(t, f.Node, "other", "self")
+	})
+	t.Run("hosts that do not answer are no entry hosts", func(t *testing.T) {
+		f, now := newFixture(t)
+		f.Answering.Store(false)
+		f.pause(length)
+		f.Node.pauses.AwaitRefresh(t.Context())
+		f.Node.sweep(now.Add(length))
+		assertEntryHosts(t, f.Node, "self")
+	})
+	t.Run("a request to a host that timed out during the pause is not counted against it", func(t *testing.T) {
+		f, now := newFixture(t)
+		f.Answering.Store(false)
+		f.PausedBySync.Store(true)
+		f.Node.sync(f.Node.Roster.Registrars()[0])
+		f.Node.pauses.AwaitRefresh(t.Context())
+		f.Node.sweep(now.Add(time.Second))
+		assertEntryHosts(t, f.Node, "other", "self")
+	})
+}
+
+func assertEntryHosts(t *testing.T, n *Node, want ...string) {
+	t.Helper()
+	var got []string
+	for _, h := range n.Roster.EntryHosts() {
+		got = append(got, h.ID)
+	}
+	slices.Sort(got)
+	is.New(t).Equal(got, want)
+}
