dispatchcmd: do not measure attempts during which the process was paused

Requests may be refused as ones that would be late, and servers avoided as slow, for some time after a pause. Cause: the attempts in flight seem to have taken the time of the pause. Change: a pause is noticed when an attempt ends, before its latency is used. Attempts in flight then count for no service time, latency, slowness or failure of their server. Evidence: TestAgesAfterPause, two of three subtests failed in 3 of 3 runs without the change.

--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -200,6 +200,7 @@
 	n.Dispatcher = dispatchcmd.New(t, n.health, exchangeWorkers)
 	n.Dispatcher.MarginDeviations = deadlineMarginDeviations
 	n.Dispatcher.Conns = n.conns
+	n.Dispatcher.Pauses = n.pauses
 	n.Dispatcher.MaxServerBodyBytes = o.MaxServerBodyBytes
 	n.Dispatcher.AvailabilityZone = o.Self.AvailabilityZone
 	n.Dispatcher.SetRetryBudgetParams(n.retryBudgetParams())
--- a/internal/node/entrynode/pause_test.go
+++ b/internal/node/entrynode/pause_test.go
@@ -23,6 +23,7 @@
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
+	"egretline.example/egretline/test/fleetproc"
 )
 
 // addressLog is a log that cannot be reached, and whose registrations of backend servers are their addresses.
@@ -49,7 +50,7 @@
 	Arrived [2]atomic.Int32
 	// Answering reports whether the registrar answers.
 	Answering atomic.Bool
-	// PausedBySync makes the process pause while its request is at the registrar.
+	// PausedBySync makes the process pause once while its request is at the registrar.
 	PausedBySync atomic.Bool
 	// paused is what the clocks show beyond the time that has passed.
 	paused atomic.Int64
@@ -101,7 +102,7 @@
 
 // sync answers as a registrar that has seen the removal of the first server, or not at all.
 func (f *pauseFixture) sync(w http.ResponseWriter, r *http.Request) {
-	if f.PausedBySync.Load() {
+	if f.PausedBySync.CompareAndSwap(true, false) {
 		f.pause(2200 * time.Millisecond)
 	}
 	if !f.Answering.Load() {
@@ -120,7 +121,13 @@
 // pause makes the clocks of the process show a pause.
 func (f *pauseFixture) pause(d time.Duration) { f.paused.Add(int64(d)) }
 
-// get sends a request for which the node chooses the server with the given number first, because the other one seems slow.
+// awaitRefresh waits until the refresh after the pause has ended, which takes a little longer than requests wait for it.
+func (f *pauseFixture) awaitRefresh(t *testing.T) {
+	t.Helper()
+	is.New(t).NoErr(fleetproc.Await(t.Context(), "the refresh has ended", func() bool { return !f.Node.pauses.Refreshing() }))
+}
+
+// get sends a request to the node.
 func (f *pauseFixture) get(t *testing.T) *httptest.ResponseRecorder {
 	t.Helper()
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/look", http.NoBody)
@@ -205,7 +212,7 @@
 		f, now := newFixture(t)
 		f.Answering.Store(false)
 		f.pause(length)
-		f.Node.pauses.AwaitRefresh(t.Context())
+		f.awaitRefresh(t)
 		f.Node.sweep(now.Add(length))
 		assertEntryHosts(t, f.Node, "self")
 	})
@@ -214,7 +221,7 @@
 		f.Answering.Store(false)
 		f.PausedBySync.Store(true)
 		f.Node.sync(f.Node.Roster.Registrars()[0])
-		f.Node.pauses.AwaitRefresh(t.Context())
+		f.awaitRefresh(t)
 		f.Node.sweep(now.Add(time.Second))
 		assertEntryHosts(t, f.Node, "other", "self")
 	})
--- a/internal/pause/pausecmd/pausecmd.go
+++ b/internal/pause/pausecmd/pausecmd.go
@@ -1,5 +1,5 @@
 // Package pausecmd notices pauses of the node's process, and keeps the node from acting on what it knew before. It writes the
-// Pauses table, and corrects the Replicas table.
+// Pauses table, and corrects ages in the Replicas and Backends tables.
 package pausecmd
 
 import (
@@ -57,11 +57,7 @@
 		if p, paused = pause.Observe(&v.State, c.ReadClocks()); !paused {
 			return
 		}
-		c.Tables.Replicas.Write(h, func(_ guard.Held, r *table.Replicas) {
-			for _, s := range r.Topics {
-				replica.ObservePause(s, p)
-			}
-		})
+		c.correctAges(h, p)
 		refreshed := make(chan struct{})
 		v.Refreshed = refreshed
 		go func() {
@@ -75,6 +71,26 @@
 	}
 }
 
+// correctAges corrects the ages of the replicas, and marks the requests in flight as ones whose ages are no evidence about their
+// servers.
+func (c *Commands) correctAges(h guard.Held, p pause.Pause) {
+	c.Tables.Replicas.Write(h, func(_ guard.Held, r *table.Replicas) {
+		for _, s := range r.Topics {
+			replica.ObservePause(s, p)
+		}
+	})
+	c.Tables.Backends.Write(h, func(_ guard.Held, b *table.Backends) {
+		for _, servers := range b.Services {
+			for _, s := range servers {
+				for id, f := range s.InFlight {
+					f.Evidence.Discarded = true
+					s.InFlight[id] = f
+				}
+			}
+		}
+	})
+}
+
 // PausedSince reports whether a pause has ended after the time.
 func (c *Commands) PausedSince(t time.Time) (paused bool) {
 	c.Observe()
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -35,7 +35,7 @@
 func (d *Dispatcher) sendWithBackup(a table.Assignment) (table.Assignment, table.Result) {
 	t := a.Ticket
 	if !allowsBackup(t) {
-		return a, t.Runner.Send(t.Context, a.Server)
+		return a, d.send(t.Context, t.Runner, a.Server)
 	}
 	ctx, cancelFirst := context.WithCancelCause(t.Context)
 	defer cancelFirst(nil)
@@ -49,7 +49,7 @@
 		}
 		ended <- backup
 	})
-	first := &finishedAttempt{Assignment: a, Runner: t.Runner, Result: t.Runner.Send(ctx, a.Server)}
+	first := &finishedAttempt{Assignment: a, Runner: t.Runner, Result: d.send(ctx, t.Runner, a.Server)}
 	if timer.Stop() {
 		return a, first.Result
 	}
@@ -129,7 +129,7 @@
 	}
 	backup := &finishedAttempt{Assignment: assignment, Runner: runner}
 	d.Health.Started(now, assignment)
-	backup.Result = runner.Send(ctx, assignment.Server)
+	backup.Result = d.send(ctx, runner, assignment.Server)
 	return backup
 }
 
--- a/pkg/dispatchcmd/dispatch.go
+++ b/pkg/dispatchcmd/dispatch.go
@@ -27,6 +27,13 @@
 	RequestEnded(now time.Time, service string, served bool)
 }
 
+// PauseObserver notices pauses of the node's process.
+type PauseObserver interface {
+	// PausedSince reports whether a pause has ended after the time. At the first call after a pause, the requests in flight are
+	// marked as ones whose ages are no evidence.
+	PausedSince(t time.Time) bool
+}
+
 // Dispatcher assigns waiting requests to backend servers and runs them on a bounded pool of workers.
 type Dispatcher struct {
 	Tables  *table.Tables
@@ -41,6 +48,8 @@
 	// MaxServerBodyBytes bounds the request bodies outstanding at a backend server from all nodes together; zero means no
 	// bound.
 	MaxServerBodyBytes int64
+	// Pauses notices pauses of the process; nil if only sweeps notice them.
+	Pauses PauseObserver
 
 	exchange *pool.Pool[table.Assignment]
 	// sharing is the last value given to SetSharing.
--- a/pkg/dispatchcmd/run.go
+++ b/pkg/dispatchcmd/run.go
@@ -1,6 +1,7 @@
 package dispatchcmd
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -36,6 +37,16 @@
 	d.settle(t, r)
 }
 
+// send sends one attempt. If the process was paused meanwhile, that is noticed before the latency is used.
+func (d *Dispatcher) send(ctx context.Context, r table.Runner, s fleet.BackendServer) table.Result {
+	started := time.Now()
+	result := r.Send(ctx, s)
+	d.pausedSince(started)
+	return result
+}
+
+func (d *Dispatcher) pausedSince(t time.Time) bool { return d.Pauses != nil && d.Pauses.PausedSince(t) }
+
 // finish delivers the response, or discards the attempt and determines the outcome of the request.
 func (d *Dispatcher) finish(a table.Assignment, r table.Result, reason retry.Reason) table.Result {
 	t := a.Ticket
@@ -160,12 +171,15 @@
 	d.recordZone(a, r)
 	var allWorkersBusy bool
 	d.Tables.Backends.Write(guard.Held{}, func(h guard.Held, b *table.Backends) {
-		releaseSlot(b, a, r, now)
+		ageKnown := releaseSlot(b, a, r, now)
 		d.Tables.Queues.Write(h, func(_ guard.Held, q *table.Queues) {
 			allWorkersBusy = q.InFlight >= d.Workers
 			q.InFlight--
 			queue := queueOf(q, a.Ticket.Service)
 			held := slotTime(r, now.Sub(started))
+			if !ageKnown {
+				held = 0
+			}
 			admission.ReleaseSlot(queue, a.Ticket.Rank, held)
 			if hasObjective(a.Ticket) {
 				admission.ObserveKind(queue, a.Ticket.Route, held, r.Evidence == fleet.Succeeded)
@@ -181,15 +195,21 @@
 }
 
 // releaseSlot frees the slot that the attempt holds at its backend server, and updates the concurrency limit of the
-// server.
-func releaseSlot(b *table.Backends, a table.Assignment, r table.Result, now time.Time) {
-	if s, ok := b.Services[a.Ticket.Service][a.Server.Address]; ok {
-		updateLimit(b, s, a, r.Evidence, now)
+// server. It reports whether the age of the attempt is known: a pause of the process makes it seem older than it is.
+func releaseSlot(b *table.Backends, a table.Assignment, r table.Result, now time.Time) (ageKnown bool) {
+	s, ok := b.Services[a.Ticket.Service][a.Server.Address]
+	if !ok {
+		return true
+	}
+	ageKnown = !s.InFlight[a.Ticket.ID].Evidence.Discarded
+	updateLimit(b, s, a, r.Evidence, now)
+	if ageKnown {
 		observeSpeed(b, s, a, r, now)
-		s.Outstanding--
-		s.OutstandingBytes -= a.Ticket.BodyBytes
-		delete(s.InFlight, a.Ticket.ID)
 	}
+	s.Outstanding--
+	s.OutstandingBytes -= a.Ticket.BodyBytes
+	delete(s.InFlight, a.Ticket.ID)
+	return ageKnown
 }
 
 func updateLimit(b *table.Backends, s *table.Backend, a table.Assignment, e fleet.Evidence, now time.Time) {
--- a/pkg/healthcmd/stall.go
+++ b/pkg/healthcmd/stall.go
@@ -36,6 +36,9 @@
 		return false
 	}
 	f := s.InFlight[t.ID]
+	if f.Evidence.Discarded {
+		return false
+	}
 	if r.Evidence == fleet.Succeeded {
 		latencies := health.Latencies[t.Route]
 		if latencies == nil && len(health.Latencies) < maxRoutesWithLatencies {
@@ -49,7 +52,7 @@
 			latencies.Observe(r.Latency)
 		}
 	}
-	if f.OverdueAge == 0 || f.Evidence.Discarded {
+	if f.OverdueAge == 0 {
 		return false
 	}
 	isOverdue := r.Latency >= f.OverdueAge && !detect.InColdStart(&s.State, health.Settings, now)
