dispatchcmd: read the responses of a pause before sending backup attempts

What callers saw: at the end of a pause a host sent requests to a second server although the first one had answered. Cause: timers run on while the process is paused, and all that are due fire before the responses are read. Change: a backup attempt that is due after a pause waits 0.1 s and is sent if there is still no response. TestBackupAfterPause, both subtests failed in 3 of 3 runs without the wait.

--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -31,7 +31,8 @@
 
 // sendWithBackup sends the request. If the attempt takes longer than the backup delay, a backup attempt goes to another
 // server, and the first complete response wins. The first attempt continues meanwhile: a request that is slow on one
-// server is usually as slow on another, and canceling it would waste the work already done.
+// server is usually as slow on another, and canceling it would waste the work already done. After a pause of the process,
+// in which the delay may have passed, the backup attempt waits until responses that have arrived are read.
 func (d *Dispatcher) sendWithBackup(a table.Assignment) (table.Assignment, table.Result) {
 	t := a.Ticket
 	if !allowsBackup(t) {
@@ -42,7 +43,12 @@
 	backupCtx, cancelBackup := context.WithCancel(t.Context)
 	defer cancelBackup()
 	ended := make(chan *finishedAttempt, 1)
+	started := time.Now()
 	timer := time.AfterFunc(t.BackupDelay, func() {
+		if d.pausedSince(started) {
+			// The response may have arrived during the pause and not been read yet.
+			awaitEnd(backupCtx, unreadResponseTimeout)
+		}
 		backup := d.runBackup(backupCtx, a)
 		if backup != nil && backup.Result.Evidence == fleet.Succeeded {
 			cancelFirst(SupersededError{Address: a.Server.Address})
@@ -67,6 +73,16 @@
 	return d.selectWinner(first, backup)
 }
 
+// unreadResponseTimeout is the time in which the responses that arrived during a pause of the process are read after it.
+const unreadResponseTimeout = 100 * time.Millisecond
+
+// awaitEnd returns when the context has ended, or after the timeout.
+func awaitEnd(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	<-ctx.Done()
+}
+
 // allowsBackup reports whether the request may run on a second server while the first attempt is in progress.
 func allowsBackup(t *table.Ticket) bool {
 	_, duplicable := t.Runner.(duplicator)
@@ -116,7 +132,7 @@
 // retry budget do not allow it. It runs on a timer goroutine, of which each worker has at most one.
 func (d *Dispatcher) runBackup(ctx context.Context, a table.Assignment) *finishedAttempt {
 	now := time.Now()
-	if d.backupsDisabled.Load() || !d.hasTimeForAttempt(a.Ticket, now) {
+	if ctx.Err() != nil || d.backupsDisabled.Load() || !d.hasTimeForAttempt(a.Ticket, now) {
 		return nil
 	}
 	runner := a.Ticket.Runner.(duplicator).Duplicate()
--- a/pkg/dispatchcmd/process_pause_test.go
+++ b/pkg/dispatchcmd/process_pause_test.go
@@ -79,3 +79,29 @@
 	t.Run("a request during which it was paused", func(t *testing.T) { oneRequest(t, false, succeeded, 0) })
 	t.Run("a request that failed while it was paused", func(t *testing.T) { oneRequest(t, false, failed, 0) })
 }
+
+// Guards against backup attempts that are all sent at the end of a pause of the process, because their timers fire before the
+// responses that arrived meanwhile are read. They go to servers without need and use up the retry budget (docs/incidents/044).
+func TestBackupAfterPause(t *testing.T) {
+	oneRequest := func(t *testing.T, first, after time.Duration, attempts int) {
+		t.Helper()
+		synctest.Test(t, func(t *testing.T) {
+			f := newPausedFixture()
+			defer f.Close()
+			durations := sameDuration(50 * time.Millisecond)
+			durations["s0"] = first
+			id := idSentToS0(f)
+			one, record := f.backupTicket(durations, nil)
+			one.ID = id
+			assertAnswered(t, f, one, record, after, attempts)
+			synctest.Wait()
+		})
+	}
+	t.Run("the response arrived during the pause", func(t *testing.T) {
+		const readAt = 2010 * time.Millisecond // 10 ms after the timer of the backup attempt
+		oneRequest(t, readAt, readAt, 1)
+	})
+	t.Run("the server stalls", func(t *testing.T) {
+		oneRequest(t, 20*time.Second, 2*time.Second+unreadResponseTimeout+50*time.Millisecond, 2)
+	})
+}
