fullduplex: let the test of early responses accept a body that was read to its end

Cause: the handler reads the body until it returns. A caller that has the whole response may send the rest of the body before the handler, delayed by the scheduler, has returned; the whole body is then read, which no promise forbids. Change: the reading ends with an error if and only if a part of the body was not read. Before, a body that was cut without an error, or read whole with one, was told from nothing; the check is as strict where the handler returns in time.

--- a/internal/http/fullduplex/fullduplex_test.go
+++ b/internal/http/fullduplex/fullduplex_test.go
@@ -102,7 +102,8 @@
 			_, _ = c.Write(earlyserver.Body()[pieceBytes:]) // the connection may be closed by now
 			read := <-u.Read
 			assertPrefix(t, read)
-			is.New(t).True(u.Err != nil)
+			// The reading ends with the exchange, unless the handler returns so late that the whole body was read.
+			is.New(t).Equal(u.Err == nil, len(read) == len(earlyserver.Body()))
 		})
 	}
 	t.Run("what is read while the response is sent is what the caller sent", func(t *testing.T) {
