--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -42,6 +42,7 @@
 	{"odd-record", putOddRecord},
 	{"repeats", backendModeFault(standin.ModeDuplicateResponse)},
 	{"cuts", backendModeFault(standin.ModeTruncateBody)}, {"drops", backendModeFault(standin.ModeDropConnection)},
+	{"pause-while-leaving", pauseWhileServerLeaves},
 }
 
 // maxLostRecords bounds the records of a topic that are lost by a restored store. It is some seconds of heartbeats.
@@ -82,6 +83,21 @@
 	h.signal(n, syscall.SIGCONT)
 }
 
+// pauseWhileServerLeaves pauses a node for longer than a server that leaves may get requests, and lets one leave meanwhile.
+func pauseWhileServerLeaves(ctx context.Context, h *harness) {
+	n, b := h.pickNode(), h.pickBackend()
+	if n == nil || b == nil {
+		return
+	}
+	h.updateRun(n, func(r *processRun) { r.disrupted = true })
+	h.signal(n, syscall.SIGSTOP)
+	h.announceLeaving(b)
+	h.addBackend(ctx, b.ID+"n", b.Service)
+	h.sleep(2 * time.Second)
+	h.sleepRandom(ctx, time.Second)
+	h.signal(n, syscall.SIGCONT)
+}
+
 func terminateNode(ctx context.Context, h *harness) { stopNode(ctx, h, 0) }
 
 // terminateNodeWithHup stops a node gracefully and sends it SIGHUP while it drains.
