http1: read the response that arrived while a pause let the deadline pass

A caller gets 504 although the backend server answered while the node was paused. Cause: the context of the attempt ends as the process goes on, and the connection is reset before the answer in the socket is read. Change: if the deadline passed during a pause, the connection is reset 0.1 s later, unless the answer was read by then. Evidence: TestResponseDuringPause, one of two subtests failed in 3 of 3 runs without the change.

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"egretline.example/egretline/internal/decide/bytebudget"
+	"egretline.example/egretline/internal/decide/pause"
 	"egretline.example/egretline/internal/http/dialect"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/table"
@@ -37,11 +39,13 @@
 	CheckSend(now time.Time, s fleet.BackendServer) error
 }
 
-// Resumption delays requests while the node brings what it knows of the backend servers up to date.
+// Resumption handles the end of a pause of the process.
 type Resumption interface {
 	// AwaitRefresh returns at once, unless the process was paused and a refresh is in progress. It then waits for the refresh for
 	// a bounded time.
 	AwaitRefresh(ctx context.Context)
+	// PausedSince reports whether a pause of the process has ended after the time.
+	PausedSince(t time.Time) bool
 }
 
 // Exchange forwards one request of a caller to a backend server and sends the response back. It implements table.Runner.
@@ -86,6 +90,8 @@
 	sentRegistryAge time.Duration
 	// notice is what the server asked for in the responses read by the last Send.
 	notice serverNotice
+	// startedAt is when the last Send started.
+	startedAt time.Time
 	// stopAbort cancels the reset of the connection that is due when the context of the attempt ends. It reports false if
 	// the reset has already started. It is nil if no reset is due.
 	stopAbort func() bool
@@ -129,6 +135,7 @@
 		return table.Result{Evidence: fleet.Canceled, Err: CallerLeftError{}}
 	}
 	started := time.Now()
+	e.startedAt = started
 	e.notice, e.sentRegistryAge = serverNotice{}, 0
 	result := e.sendOnce(ctx, s, started)
 	if ctx.Err() == nil && e.endedIdleConn(result.Err, started) {
@@ -196,7 +203,7 @@
 		return table.Result{Evidence: fleet.Withheld, Err: err}
 	}
 	e.conn = c
-	e.stopAbort = context.AfterFunc(ctx, c.Abort)
+	e.abortAtEnd(ctx)
 	if e.RegistryAge != nil {
 		e.sentRegistryAge = e.RegistryAge()
 	}
@@ -221,6 +228,32 @@
 	return result
 }
 
+// abortAtEnd resets the connection when the context ends. If its deadline passed during a pause of the process, the response may
+// have arrived meanwhile, and there is time to read it first.
+func (e *Exchange) abortAtEnd(ctx context.Context) {
+	var waiting atomic.Bool
+	c, started, decided := e.conn, e.startedAt, make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		waits := errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Resumption != nil && e.Resumption.PausedSince(started)
+		waiting.Store(waits)
+		close(decided)
+		if waits {
+			<-time.After(pause.UnreadResponseTimeout)
+			if !waiting.CompareAndSwap(true, false) {
+				return
+			}
+		}
+		c.Abort()
+	})
+	e.stopAbort = func() bool {
+		if stop() {
+			return true
+		}
+		<-decided
+		return waiting.CompareAndSwap(true, false)
+	}
+}
+
 // cancelAbort makes the end of the attempt's context have no effect on the connection. It reports false if the context has
 // ended before.
 func (e *Exchange) cancelAbort() bool {
@@ -421,7 +454,7 @@
 	if r.Status >= http.StatusInternalServerError {
 		r.Evidence = fleet.Failed
 	}
-	e.stopAbort = context.AfterFunc(ctx, e.conn.Abort)
+	e.abortAtEnd(ctx)
 	h := e.responseHeader()
 	e.Delivery.start(r.Status, h, e.buffered)
 	e.buffered = nil
--- a/internal/decide/pause/pause.go
+++ b/internal/decide/pause/pause.go
@@ -9,6 +9,9 @@
 	// MinLength is the length from which a pause matters. Replicas are usually up to 1 s old, and a request must not reach a
 	// backend server later than 2 s after its removal.
 	MinLength = 500 * time.Millisecond
+	// UnreadResponseTimeout is the time in which the responses that arrived during a pause are read after it. Timers that passed
+	// during the pause fire before.
+	UnreadResponseTimeout = 100 * time.Millisecond
 	// leastProcessorShare is the fraction of a core that a busy process gets at least: that of the smallest hosts while they
 	// are slowed to a fifth.
 	leastProcessorShare = 1.0 / 16
--- a/pkg/dispatchcmd/backup.go
+++ b/pkg/dispatchcmd/backup.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretline.example/egretline/internal/decide/bytebudget"
+	"egretline.example/egretline/internal/decide/pause"
 	"egretline.example/egretline/pkg/decide/admission"
 	"egretline.example/egretline/pkg/decide/detect"
 	"egretline.example/egretline/pkg/decide/retry"
@@ -47,7 +48,7 @@
 	timer := time.AfterFunc(t.BackupDelay, func() {
 		if d.pausedSince(started) {
 			// The response may have arrived during the pause and not been read yet.
-			awaitEnd(backupCtx, unreadResponseTimeout)
+			awaitEnd(backupCtx, pause.UnreadResponseTimeout)
 		}
 		backup := d.runBackup(backupCtx, a)
 		if backup != nil && backup.Result.Evidence == fleet.Succeeded {
@@ -73,9 +74,6 @@
 	return d.selectWinner(first, backup)
 }
 
-// unreadResponseTimeout is the time in which the responses that arrived during a pause of the process are read after it.
-const unreadResponseTimeout = 100 * time.Millisecond
-
 // awaitEnd returns when the context has ended, or after the timeout.
 func awaitEnd(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/pkg/dispatchcmd/process_pause_test.go
+++ b/pkg/dispatchcmd/process_pause_test.go
@@ -102,6 +102,6 @@
 		oneRequest(t, readAt, readAt, 1)
 	})
 	t.Run("the server stalls", func(t *testing.T) {
-		oneRequest(t, 20*time.Second, 2*time.Second+unreadResponseTimeout+50*time.Millisecond, 2)
+		oneRequest(t, 20*time.Second, 2*time.Second+pause.UnreadResponseTimeout+50*time.Millisecond, 2)
 	})
 }
