http1: do not send a request whose time ended while it waited for the refresh

What callers saw: nothing; found in the read-through of the change. A request could be written although its caller had left or its deadline had passed while it waited for the news after a pause. Change: the context is looked at after the wait; such a request is not sent, which is no evidence about the server. The interface has the name of its counterparts (PauseObserver). process-pauses on /metrics counts the pauses that were noticed. Evidence: TestDeadlineDuringRefresh; without the look the request was sent (by reading, the write precedes the reset).

--- a/internal/backend/http1/exchange.go
+++ b/internal/backend/http1/exchange.go
@@ -39,8 +39,8 @@
 	CheckSend(now time.Time, s fleet.BackendServer) error
 }
 
-// Resumption handles the end of a pause of the process.
-type Resumption interface {
+// PauseObserver notices pauses of the node's process.
+type PauseObserver interface {
 	// AwaitRefresh returns at once, unless the process was paused and a refresh is in progress. It then waits for the refresh for
 	// a bounded time.
 	AwaitRefresh(ctx context.Context)
@@ -71,8 +71,8 @@
 	Idempotent bool
 	// ResponseDeadline is when the response headers are due. The backend server is sent the time that is left until then.
 	ResponseDeadline time.Time
-	// Resumption may be nil.
-	Resumption Resumption
+	// Pauses delays requests after a pause of the process; nil if pauses are not noticed.
+	Pauses PauseObserver
 	// RegistryAge returns the age of what the node knows of the backend servers, for the log. It may be nil.
 	RegistryAge func() time.Duration
 
@@ -123,7 +123,7 @@
 	return &Exchange{
 		Pool: e.Pool, Gate: e.Gate, Headers: e.Headers, Request: e.Request, BufferedBody: e.BufferedBody, Delivery: e.Delivery,
 		RequestID: e.RequestID, Customer: e.Customer, DropCredentials: e.DropCredentials, Idempotent: e.Idempotent,
-		ResponseDeadline: e.ResponseDeadline, Resumption: e.Resumption, RegistryAge: e.RegistryAge,
+		ResponseDeadline: e.ResponseDeadline, Pauses: e.Pauses, RegistryAge: e.RegistryAge,
 	}
 }
 
@@ -195,12 +195,9 @@
 	if err != nil {
 		return table.Result{Evidence: connectEvidence(ctx), Err: err}
 	}
-	if e.Resumption != nil {
-		e.Resumption.AwaitRefresh(ctx)
-	}
-	if err := e.Gate.CheckSend(time.Now(), s); err != nil {
+	if err := e.checkSend(ctx, s); err != nil {
 		c.Close()
-		return table.Result{Evidence: fleet.Withheld, Err: err}
+		return table.Result{Evidence: withheldEvidence(ctx), Err: err}
 	}
 	e.conn = c
 	e.abortAtEnd(ctx)
@@ -228,13 +225,32 @@
 	return result
 }
 
-// abortAtEnd resets the connection when the context ends. If its deadline passed during a pause of the process, the response may
-// have arrived meanwhile, and there is time to read it first.
+// checkSend returns an error if the request must not be sent to the server any more. It waits for the refresh after a pause.
+func (e *Exchange) checkSend(ctx context.Context, s fleet.BackendServer) error {
+	if e.Pauses != nil {
+		e.Pauses.AwaitRefresh(ctx)
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return e.Gate.CheckSend(time.Now(), s)
+}
+
+// withheldEvidence classifies a request that was not sent on an open connection.
+func withheldEvidence(ctx context.Context) fleet.Evidence {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fleet.Canceled
+	}
+	return fleet.Withheld
+}
+
+// abortAtEnd resets the connection when the context ends. If the deadline passed and the process was paused during the attempt,
+// the response may have arrived in the pause, and there is time to read it first.
 func (e *Exchange) abortAtEnd(ctx context.Context) {
 	var waiting atomic.Bool
 	c, started, decided := e.conn, e.startedAt, make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
-		waits := errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Resumption != nil && e.Resumption.PausedSince(started)
+		waits := errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Pauses != nil && e.Pauses.PausedSince(started)
 		waiting.Store(waits)
 		close(decided)
 		if waits {
--- a/internal/backend/http1/pause_test.go
+++ b/internal/backend/http1/pause_test.go
@@ -48,7 +48,7 @@
 			_, _ = r.ReadByte() // the connection stays open
 		})
 		e, w := newExchange(NewPool(), "r1", true)
-		e.Resumption = p
+		e.Pauses = p
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 		defer cancel()
 		r := e.Send(ctx, b.Server)
@@ -62,3 +62,23 @@
 	t.Run("a response that has arrived is delivered", func(t *testing.T) { is.New(t).Equal(send(t, true), fleet.Succeeded) })
 	t.Run("otherwise the attempt ends", func(t *testing.T) { is.New(t).Equal(send(t, false), fleet.Failed) })
 }
+
+// longRefresh is a process that was paused and whose refresh lasts beyond the deadline of a request.
+type longRefresh struct{}
+
+func (longRefresh) AwaitRefresh(ctx context.Context) { <-ctx.Done() }
+
+func (longRefresh) PausedSince(time.Time) bool { return true }
+
+// Guards against a request that is sent although its time has ended while it waited for the refresh after a pause.
+func TestDeadlineDuringRefresh(t *testing.T) {
+	b := newTestBackend(t, respondWith(func(id string) string { return responseText(id, "200 OK", "answer") }))
+	e, _ := newExchange(NewPool(), "r1", false)
+	e.Pauses = longRefresh{}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	r := e.Send(ctx, b.Server)
+	is := is.New(t)
+	is.Equal(r.Evidence, fleet.Withheld)
+	is.True(!r.Sent)
+}
--- a/internal/decide/pause/pause.go
+++ b/internal/decide/pause/pause.go
@@ -29,21 +29,20 @@
 
 // Pause is a pause that has ended.
 type Pause struct {
-	// Length is at most the length of the pause and the time for which the process was idle before it.
+	// Length is the time between two readings, less the time for which the process may have been running.
 	Length time.Duration
 	// Hidden is the part of Length by which the steady clock did not advance.
 	Hidden time.Duration
 }
 
-// Visible returns the part of the pause by which the steady clock advanced.
-func (p Pause) Visible() time.Duration { return p.Length - p.Hidden }
-
 // State is what is known of the pauses of a process. The zero value has no reading yet.
 type State struct {
 	// Last is the newest reading.
 	Last Reading
 	// Ended is the end of the last pause; zero if there was none.
 	Ended time.Time
+	// Count is the number of pauses.
+	Count int
 }
 
 // Observe takes a reading, and returns the pause that ended since the reading before it, if there was one. Readings must be
@@ -64,5 +63,6 @@
 	}
 	p.Hidden = min(hidden, p.Length)
 	s.Ended = r.Steady
+	s.Count++
 	return p, true
 }
--- a/internal/front/hostfront/hostfront.go
+++ b/internal/front/hostfront/hostfront.go
@@ -71,8 +71,8 @@
 	Dispatcher Dispatcher
 	Pool       *http1.Pool
 	Gate       http1.Gate
-	// Resumption delays requests after a pause of the process; nil if pauses are not noticed.
-	Resumption http1.Resumption
+	// Pauses delays requests after a pause of the process; nil if pauses are not noticed.
+	Pauses http1.PauseObserver
 	// Transfers accounts the bytes that the node holds for callers and backend servers.
 	Transfers *transfercmd.Commands
 	Headers   dialect.Headers
@@ -227,7 +227,7 @@
 		Pool: h.Pool, Gate: h.Gate, Headers: h.Headers, Request: r, BufferedBody: req.BufferedBody,
 		RemainingBody: req.RemainingBody, Delivery: delivery, RequestID: req.ID, Customer: req.Customer.Name,
 		DropCredentials: req.DropCredentials, Idempotent: req.Route.Idempotent,
-		ResponseDeadline: req.ResponseDeadline, Resumption: h.Resumption, RegistryAge: h.RegistryAge,
+		ResponseDeadline: req.ResponseDeadline, Pauses: h.Pauses, RegistryAge: h.RegistryAge,
 	}
 	if req.RemainingBody != nil {
 		// net/http notices that the caller has left only once the whole body has been read.
--- a/internal/node/entrynode/entrynode.go
+++ b/internal/node/entrynode/entrynode.go
@@ -210,7 +210,7 @@
 	n.reportPool = pool.New("report", reportWorkers, reportQueueLength, n.sendReport)
 	front := &hostfront.Handler{
 		Config: n.Config, Dispatcher: n.Dispatcher, Pool: n.conns,
-		Gate: sendGate{Notices: &healthquery.Queries{Tables: t}, Replicas: n.Replicas}, Resumption: n.pauses, Transfers: transfercmd.New(t, cmp.Or(o.HeldBytes, defaultHeldBytes), logger), Headers: o.Headers,
+		Gate: sendGate{Notices: &healthquery.Queries{Tables: t}, Replicas: n.Replicas}, Pauses: n.pauses, Transfers: transfercmd.New(t, cmp.Or(o.HeldBytes, defaultHeldBytes), logger), Headers: o.Headers,
 		Traffic: &trafficcmd.Commands{Traffic: t.Traffic}, MaxBodyBytes: o.MaxBodyBytes, StartupDone: n.firstReady,
 		RegistryAge:      func() time.Duration { return n.Replicas.Age(table.TopicBackendServers, time.Now()) },
 		ConfigurationAge: func() time.Duration { return n.Replicas.Age(table.TopicConfiguration, time.Now()) },
--- a/internal/node/entrynode/metrics.go
+++ b/internal/node/entrynode/metrics.go
@@ -37,6 +37,7 @@
 		for _, topic := range []table.Topic{table.TopicConfiguration, table.TopicBackendServers} {
 			fmt.Fprintf(&b, "copy-age-ms{topic=%q} %d\n", topic, n.Replicas.Age(topic, now).Milliseconds())
 		}
+		fmt.Fprintf(&b, "process-pauses %d\n", n.pauses.Count())
 		writeQuotas(&b, now, &quotaquery.Queries{Tables: n.Tables})
 		writeTransferUsage(&b, (&transferquery.Queries{Tables: n.Tables}).Usage())
 		fmt.Fprintf(&b, "entry-hosts %d\n", len(n.Roster.EntryHosts()))
--- a/internal/pause/pausecmd/pausecmd.go
+++ b/internal/pause/pausecmd/pausecmd.go
@@ -23,7 +23,7 @@
 	Tables *table.Tables
 	// ReadClocks reads the clocks of the process.
 	ReadClocks func() pause.Reading
-	// Refresh updates the replicas after a pause, as far as that is possible at present. It runs in a goroutine.
+	// Refresh updates the replicas after a pause, as far as that is possible at present. It runs in a goroutine of its own.
 	Refresh func()
 	Logger  zerolog.Logger
 }
@@ -98,7 +98,7 @@
 	return paused
 }
 
-// Refreshing reports whether the refresh after a pause is in progress.
+// Refreshing reports whether the refresh after a pause is in progress, also after one that has not been noticed yet.
 func (c *Commands) Refreshing() bool {
 	c.Observe()
 	select {
@@ -127,6 +127,12 @@
 	}
 }
 
+// Count returns the number of pauses since the start of the process.
+func (c *Commands) Count() (count int) {
+	c.Tables.Pauses.Read(guard.Held{}, func(_ guard.Held, v *table.Pauses) { count = v.Count })
+	return count
+}
+
 // noRefresh stands for the refresh after a pause while there was none.
 var noRefresh = func() chan struct{} {
 	closed := make(chan struct{})
