--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -41,7 +41,8 @@
 
 // cases maps the names of the cases to their functions, which run with or without the disruption.
 var cases = map[string]func(r *record, trouble bool) error{
-	"last-customer": lastCustomer,
+	"last-customer":  lastCustomer,
+	"shared-address": sharedAddress,
 }
 
 func main() {
