--- a/review/_cases3/address.go
+++ b/review/_cases3/address.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -91,12 +90,9 @@
 	const heartbeat = 1500 * time.Millisecond
 	born := time.Now().UnixMilli()
 	put := func(k, seq int) string {
-		entry, _ := json.Marshal(map[string]any{
-			"service": "metrics", "addr": servers[k].Address, "zone": "zone-0", "version": "v1", "capacity": 6, "state": "ready",
-			"warmupLeft": "0ms", "seq": seq, "born": born,
-		})
-		f.Store.Put(standin.TopicServers, "other-"+strconv.Itoa(k), string(entry))
-		return string(entry)
+		entry := registryEntry("metrics", servers[k].Address, seq, born)
+		f.Store.Put(standin.TopicServers, "other-"+strconv.Itoa(k), entry)
+		return entry
 	}
 	for k := range servers {
 		r.line("another writer put the entry other-%d: %s", k, put(k, 1))
--- a/review/_cases3/fleet.go
+++ b/review/_cases3/fleet.go
@@ -32,6 +32,7 @@
 	ExpectInstance string `json:"expect-instance"`
 	NotExecuted    string `json:"not-executed"`
 	Tenant         string `json:"tenant"`
+	WarmupField    string `json:"warmup-field"`
 	ReadyPath      string `json:"ready-path"`
 }
 
--- a/review/_cases3/peers.go
+++ b/review/_cases3/peers.go
@@ -35,11 +35,8 @@
 	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(l) }()
 	born := time.Now().UnixMilli()
 	register := func(seq int) {
-		record, _ := json.Marshal(map[string]any{
-			"service": service, "addr": s.Address, "zone": "zone-0", "version": "v1", "capacity": 6, "state": "ready",
-			"warmupLeft": "0ms", "seq": seq, "born": born,
-		})
-		f.Store.Put(standin.TopicServers, id, string(record))
+		record := registryEntry(service, s.Address, seq, born)
+		f.Store.Put(standin.TopicServers, id, record)
 	}
 	register(1)
 	go func() {
@@ -52,6 +49,15 @@
 	return s, nil
 }
 
+// registryEntry returns the entry of a server that is ready.
+func registryEntry(service, address string, seq int, born int64) string {
+	entry, _ := json.Marshal(map[string]any{
+		"service": service, "addr": address, "zone": "zone-0", "version": "v1", "capacity": 6, "state": "ready",
+		names.WarmupField: "0ms", "seq": seq, "born": born,
+	})
+	return string(entry)
+}
+
 // response is what a client received.
 type response struct {
 	Status    int
