platform: require keys when the list of customers is empty

Cause: nil stood for a configuration without customers, and the decoder returned it for an empty list and for null as well. Change: the configuration says explicitly that tokens are optional, which only a record without the list does. The zero value requires keys.

--- a/internal/front/hostfront/assert_test.go
+++ b/internal/front/hostfront/assert_test.go
@@ -88,6 +88,7 @@
 		RouteIndex: map[fleet.RouteKey]int{
 			{Host: "a.example", PathPrefix: "/book/"}: 0,
 		},
+		TokensOptional: true,
 	}
 }
 
--- a/internal/front/hostfront/customer.go
+++ b/internal/front/hostfront/customer.go
@@ -31,7 +31,7 @@
 
 // identifyCustomer sets the customer of the request from its key, and the rank that applies to it.
 func (h *Handler) identifyCustomer(r *http.Request, c *fleet.Configuration, req *request) error {
-	if c.Tenants == nil {
+	if c.TokensOptional {
 		return nil
 	}
 	req.DropCredentials = true
--- a/internal/front/hostfront/customer_test.go
+++ b/internal/front/hostfront/customer_test.go
@@ -37,6 +37,7 @@
 		Name: "news", Service: "desk", Host: "a.example", PathPrefix: "/news/", Timeout: time.Second, Anonymous: true,
 	})
 	c.RouteIndex[fleet.RouteKey{Host: "a.example", PathPrefix: "/news/"}] = 1
+	c.TokensOptional = false
 	mill := fleet.Tenant{Name: "mill", Rank: "second", Quota: fleet.Quota{RequestsPerSecond: 1}}
 	c.Tenants = map[string]fleet.Tenant{
 		keyHash(http.Header{headerAuthorization: {"Bearer old"}}): mill,
@@ -91,14 +92,16 @@
 			})
 		}
 	})
-	// Guards against a configuration that becomes open to all, and passes keys on, when its customers lose their last keys.
+	// Guards against a configuration that becomes open to all, and passes keys on, when it loses its last customer or key.
 	t.Run("without any valid key all keys are unknown", func(t *testing.T) {
-		d := &fakeDispatcher{}
-		withCustomers(t, d, &fakeLimiter{}, func(t *testing.T, f *fixture) {
-			clear(f.Config.Configuration.Tenants)
-			assertStatus(t, f.get(t, "/book/1", "Request-Id: r1", "Authorization: Bearer old"), http.StatusUnauthorized)
-			is.New(t).Equal(len(d.Admitted), 0)
-		})
+		for _, tenants := range []map[string]fleet.Tenant{nil, {}} {
+			d := &fakeDispatcher{}
+			withCustomers(t, d, &fakeLimiter{}, func(t *testing.T, f *fixture) {
+				f.Config.Configuration.Tenants = tenants
+				assertStatus(t, f.get(t, "/book/1", "Request-Id: r1", "Authorization: Bearer old"), http.StatusUnauthorized)
+				is.New(t).Equal(len(d.Admitted), 0)
+			})
+		}
 	})
 	t.Run("a route that is open to all needs no key", func(t *testing.T) {
 		d := &fakeDispatcher{Result: table.Result{Outcome: fleet.NotRun}}
--- a/pkg/fleet/config.go
+++ b/pkg/fleet/config.go
@@ -149,9 +149,12 @@
 	Routes []Route
 	// RouteIndex maps the key of a route to its position in Routes.
 	RouteIndex map[RouteKey]int
-	// Tenants is keyed by TokenSHA256. A tenant with several tokens has one entry for each of them. If it is nil, the entry
-	// hosts require no key. If it is empty, all tenants have lost their tokens, and no key is valid.
+	// Tenants is keyed by TokenSHA256. A tenant with several tokens has one entry for each of them. If it is nil or empty, no
+	// key is valid.
 	Tenants map[string]Tenant
+	// TokensOptional is set if the configuration does not define tenants at all, not even an empty list of them. Entry hosts
+	// then serve requests without a token, and pass tokens on like any other header.
+	TokensOptional bool
 	// Problems lists the conflicts and missing definitions that merging found across files.
 	Problems []Problem
 }
