caller: do not accept a request without a token as that of an empty token

A tenant whose token-sha256 is the hash of an empty text was open to callers without a token. Cause: a missing token was hashed and looked up like any other. Change: a request without a token has no hash and gets 401.

--- a/service/caller/handler.go
+++ b/service/caller/handler.go
@@ -174,8 +174,13 @@
 	return req, c, nil
 }
 
+// tokenHash returns the SHA-256 hash of the request's token in hex, or an empty string without a token. A configuration may
+// hold the hash of an empty token, for example because a variable was not set when it was written.
 func tokenHash(r *http.Request) string {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if token == "" || token == "Bearer" {
+		return ""
+	}
 	sum := sha256.Sum256([]byte(token))
 	return hex.EncodeToString(sum[:])
 }
