quotacmd: apply the limit of a request before its configuration is adopted

Requests of a customer that a new configuration added were not counted until the limits were adopted, some milliseconds after it came into force. Cause: a customer missing in the adopted limits counted as one without a limit. Change: the limit of the configuration that identified the request applies then. Only a rate of zero means no limit. Evidence: TestLimitBeforeAdoption, 100 of 100 requests were accepted without the change. Measured: not measured beyond the test.

--- a/internal/customer/quotacmd/calm_test.go
+++ b/internal/customer/quotacmd/calm_test.go
@@ -98,6 +98,24 @@
 	is.Equal(f.Refused, before)
 }
 
+// Guards against requests beyond the limit of a customer that was added by a configuration which this host has not adopted
+// yet: requests are identified by a new configuration before its limits are adopted. A record without a version, which
+// decodes to revision 0, is never adopted.
+func TestLimitBeforeAdoption(t *testing.T) {
+	f := newTestFleet(1, fleet.Quota{RequestsPerSecond: 40, Burst: 40}, 1)
+	h := f.Hosts[0]
+	added := fleet.Tenant{Name: "added", Quota: fleet.Quota{RequestsPerSecond: 5, Burst: 5}}
+	accepted := 0
+	for range 100 {
+		if _, ok := h.Take(f.Now, added); ok {
+			accepted++
+		}
+	}
+	if want := allowed(added.Quota, 0); accepted < added.Quota.Burst || float64(accepted) > want {
+		t.Errorf("%d requests accepted, want at least %d and at most %.0f", accepted, added.Quota.Burst, want)
+	}
+}
+
 // Guards against a customer that gets a full bucket because all its keys were replaced in two steps.
 func TestKeysReplaced(t *testing.T) {
 	f := newTestFleet(3, fleet.Quota{RequestsPerSecond: 100, Burst: 300}, 1)
--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -91,9 +91,12 @@
 func (c *Commands) Take(now time.Time, t fleet.Tenant) (retryAfter time.Duration, ok bool) {
 	var began bool
 	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
-		limit, limited := q.Limits[t.Name]
-		if !limited {
-			// The request was identified by a configuration that is not adopted yet, or no longer active.
+		limit, adopted := q.Limits[t.Name]
+		if !adopted {
+			// The request was identified by a configuration that is not adopted yet, or no longer active. Its limit holds.
+			limit = t.Quota
+		}
+		if limit.RequestsPerSecond <= 0 {
 			ok = true
 			return
 		}
