entrynode: say in the fixture of TestDrain that it needs no keys

Change: the fixture sets TokensOptional, as the decoder does for a configuration without the list of customers. Measured: the package's tests pass.

--- a/internal/node/entrynode/drain_test.go
+++ b/internal/node/entrynode/drain_test.go
@@ -37,7 +37,8 @@
 
 func (oneServerLog) Configuration([]byte) (*fleet.Configuration, error) {
 	return &fleet.Configuration{
-		Revision: 1, Ranks: []fleet.Rank{{Name: "bookings", Share: 1}}, Services: map[string]fleet.Service{"desk": {Name: "desk"}},
+		TokensOptional: true,
+		Revision:       1, Ranks: []fleet.Rank{{Name: "bookings", Share: 1}}, Services: map[string]fleet.Service{"desk": {Name: "desk"}},
 		Routes: []fleet.Route{{
 			Name: "all", Service: "desk", Host: "a.example", PathPrefix: "/", Rank: "bookings", Timeout: time.Minute,
 		}},
