roster: keep the agreed entry hosts while this host may be cut off

Cause: as the contacts of a cut-off host failed one after the other, it replaced each entry host by another one that looked alive by old reports, and in the end by itself, and named all of them to callers. Change: when a registrar does not answer, the others are contacted at once. The entry hosts stay until they have answered; if most do not, and the log does not either, for at most 30 s. A refused connection counts as an answer, so that killed processes are replaced as fast as before. A host that is cut off does not name itself beside others.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -18,6 +18,12 @@
 	contactTimeout = 3 * time.Second
 	// failedContactTimeout is the time during which a failed contact outweighs reports of other hosts.
 	failedContactTimeout = 3 * time.Second
+	// contactCheckDuration is the time in which all registrars are contacted after one of them has not answered.
+	contactCheckDuration = time.Second
+	// logCheckDuration is the time after which a host that is cut off knows whether it reaches the platform's log.
+	logCheckDuration = 3 * time.Second
+	// maxIsolation is how long a host counts as cut off. After that it is more likely to be the last one that is left.
+	maxIsolation = 30 * time.Second
 	// MaxRegistrars is the number of hosts that distribute state. Each other host contacts all of them in turn. The
 	// number therefore bounds the messages of a host and the time until it detects a registrar that is unreachable.
 	MaxRegistrars = 4
@@ -59,8 +65,10 @@
 	LastContact time.Time
 	// LastReportedContact is the last time that a registrar reported direct contact with the host.
 	LastReportedContact time.Time
-	// LastFailedContact is the time of the last failed contact.
+	// LastFailedContact is the time of the last failed contact, and LastUnanswered that of the last one that failed without a
+	// sign of the host or its machine.
 	LastFailedContact time.Time
+	LastUnanswered    time.Time
 }
 
 // Live reports whether the host counts as live. A leaving host does not.
@@ -74,6 +82,41 @@
 	return now.Sub(s.LastReportedContact) < contactTimeout && now.Sub(s.LastFailedContact) >= failedContactTimeout
 }
 
+// Reach is what a host knows of its connection to the others.
+type Reach int
+
+const (
+	// Reached means that the host is in touch with at least half of the registrars.
+	Reached Reach = iota
+	// InDoubt means that a registrar has not answered, and that the others or the log have not been contacted since.
+	InDoubt
+	// CutOff means that neither most registrars nor the log answer.
+	CutOff
+)
+
+// Contacts are the registrars that a host has contacted since one of them did not answer. A host that is a registrar itself
+// counts as one that has answered.
+type Contacts struct {
+	Answered, Unanswered, Unknown int
+	// LogUnreachable reports whether the last read of the platform's log failed.
+	LogUnreachable bool
+}
+
+// Assess returns the reach of a host, given the time since the first contact that was not answered. Registrars that have
+// failed refuse connections, or the log still answers; a host that hears neither is cut off itself.
+func Assess(c Contacts, unanswered time.Duration) Reach {
+	total := c.Answered + c.Unanswered + c.Unknown
+	switch {
+	case unanswered >= maxIsolation:
+		return Reached
+	case 2*c.Unanswered > total && c.LogUnreachable:
+		return CutOff
+	case 2*c.Unanswered > total && unanswered < logCheckDuration, c.Unknown > 0 && unanswered < contactCheckDuration:
+		return InDoubt
+	}
+	return Reached
+}
+
 // HasRecentDirectContact reports whether the node had recent direct contact with the host. Only such hosts, including
 // leaving ones, are reported to others.
 func HasRecentDirectContact(s State, now time.Time) bool {
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"egretline.example/egretline/internal/decide/roster"
 	"egretline.example/egretline/internal/peer/peerapi"
+	"egretline.example/egretline/internal/peer/peerclient"
 	"egretline.example/egretline/internal/roster/rostercmd"
 	"egretline.example/egretline/internal/zone/zonecmd"
 	"egretline.example/egretline/internal/zone/zonequery"
@@ -181,7 +184,7 @@
 	if err != nil {
 		n.Logger.Warn().Err(err).Str("peer", h.ID).Str("address", h.PeerAddress).Msg("cannot synchronize state with peer")
 		if !n.pauses.PausedSince(requestedAt) { // the timeout may have passed during a pause
-			n.rosterCommands.RecordFailure(now, h.ID)
+			n.recordFailedSync(now, h.ID, err)
 		}
 		return
 	}
@@ -214,6 +217,19 @@
 	}
 }
 
+// recordFailedSync records that the host could not be contacted. If a registrar has given no answer, the others are contacted at
+// once, which shows whether that one or this node is cut off.
+func (n *Node) recordFailedSync(now time.Time, id string, err error) {
+	var status peerclient.StatusError
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &status) {
+		n.rosterCommands.RecordFailure(now, id)
+		return
+	}
+	for _, h := range n.rosterCommands.RecordNoAnswer(now, id) {
+		n.submitSync(h)
+	}
+}
+
 // notifyReplicasChanged wakes sweepLoop to apply changed replicas to the other tables.
 func (n *Node) notifyReplicasChanged() {
 	select {
@@ -293,6 +309,7 @@
 	ctx, cancel := context.WithTimeout(ctx, topicTimeout)
 	defer cancel()
 	changed, err := n.replicaCommands.Refresh(ctx, topic)
+	n.rosterCommands.SetLogReachable(err == nil)
 	if err != nil {
 		if !n.logUnreachable.Swap(true) {
 			n.Logger.Warn().Err(err).Msg("platform log is unreachable; serving from memory")
--- a/internal/roster/rostercmd/rostercmd.go
+++ b/internal/roster/rostercmd/rostercmd.go
@@ -80,15 +80,39 @@
 	})
 }
 
-// RecordFailure records a failed contact with the host.
+// RecordFailure records a failed contact with the host whose machine has answered, for example by refusing the connection.
 func (c *Commands) RecordFailure(now time.Time, id string) {
 	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
 		if s, known := r.Hosts[id]; known {
-			s.LastFailedContact = now
+			s.LastFailedContact, s.LastUnanswered = now, time.Time{}
 		}
 	})
 }
 
+// RecordNoAnswer records a contact with the host that failed without a sign of it or its machine. It returns the registrars that
+// have to be contacted to learn whether this node is cut off. There are none if they are being contacted.
+func (c *Commands) RecordNoAnswer(now time.Time, id string) (check []fleet.Host) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
+		s, known := r.Hosts[id]
+		if !known {
+			return
+		}
+		s.LastFailedContact, s.LastUnanswered = now, now
+		registrars := roster.Registrars(r.EntryHosts)
+		isFailed := func(h fleet.Host) bool { return h.ID == id }
+		if r.UnansweredSince.IsZero() && slices.ContainsFunc(registrars, isFailed) {
+			r.UnansweredSince = now
+			check = slices.DeleteFunc(slices.Clone(registrars), isFailed)
+		}
+	})
+	return check
+}
+
+// SetLogReachable records whether the last read of the platform's log succeeded.
+func (c *Commands) SetLogReachable(reachable bool) {
+	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) { r.LogUnreachable = !reachable })
+}
+
 // upsertState updates the state of the host from the announcement and returns it, or nil for the node itself.
 func upsertState(r *table.Roster, a Announcement) *roster.State {
 	if a.Host.ID == r.Self.ID || a.Host.ID == "" {
@@ -105,11 +129,12 @@
 
 // SelectEntryHosts selects the entry hosts from the live hosts. The load is in requests per second, like the
 // capacities of hosts. It does nothing while neither the live hosts nor the load change, because ranking hundreds of hosts
-// takes most of a millisecond and nodes call it several times a second.
+// takes most of a millisecond and nodes call it several times a second. A node that may be cut off keeps its entry hosts: it
+// would select hosts that no other one counts as entry hosts, itself among them.
 func (c *Commands) SelectEntryHosts(now time.Time, load float64) {
 	var before, after []fleet.Host
 	c.Tables.Roster.Write(guard.Held{}, func(_ guard.Held, r *table.Roster) {
-		if !selectionOutdated(r, load, now) {
+		if assessReach(r, now) != roster.Reached || !selectionOutdated(r, load, now) {
 			return
 		}
 		r.SelectedFrom, r.SelectedLoad = map[string]fleet.Host{}, load
@@ -138,6 +163,35 @@
 	}
 }
 
+// assessReach updates what the node knows of its connection to the other hosts. A leaving node does not keep itself among the
+// entry hosts, and is never in doubt.
+func assessReach(r *table.Roster, now time.Time) roster.Reach {
+	r.Isolated = false
+	if r.UnansweredSince.IsZero() || r.Self.Leaving {
+		return roster.Reached
+	}
+	contacts := roster.Contacts{LogUnreachable: r.LogUnreachable}
+	for _, h := range roster.Registrars(r.EntryHosts) {
+		s, known := r.Hosts[h.ID]
+		switch {
+		case !known: // the node itself
+			contacts.Answered++
+		case s.LastUnanswered.After(s.LastContact):
+			contacts.Unanswered++
+		case s.LastContact.Before(r.UnansweredSince) && s.LastFailedContact.Before(r.UnansweredSince):
+			contacts.Unknown++
+		default:
+			contacts.Answered++
+		}
+	}
+	reach := roster.Assess(contacts, now.Sub(r.UnansweredSince))
+	r.Isolated = reach == roster.CutOff
+	if reach == roster.Reached {
+		r.UnansweredSince = time.Time{}
+	}
+	return reach
+}
+
 // selectionOutdated reports whether the live hosts or the load have changed since the entry hosts were selected.
 func selectionOutdated(r *table.Roster, load float64, now time.Time) bool {
 	if r.SelectedFrom == nil || load != r.SelectedLoad {
--- a/internal/roster/rostercmd/rostercmd_test.go
+++ b/internal/roster/rostercmd/rostercmd_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"egretline.example/egretline/internal/decide/roster"
+	"egretline.example/egretline/internal/roster/rosterquery"
 	"egretline.example/egretline/pkg/fleet"
 	"egretline.example/egretline/pkg/guard"
 	"egretline.example/egretline/pkg/table"
@@ -96,6 +97,59 @@
 	}
 }
 
+// Guards against a node that is cut off and sends callers to hosts which no other node counts as entry hosts: as its contacts
+// grow old, it selected one host after the other, and itself in the end. It also guards against a node that keeps hosts which
+// have failed, and against the last node that is left, which has to select itself.
+func TestEntryHostsOfNodeThatIsCutOff(t *testing.T) {
+	const load = 3000
+	noAnswer := func(c *Commands, now time.Time, id string) { c.RecordNoAnswer(now, id) }
+	refused := func(c *Commands, now time.Time, id string) { c.RecordFailure(now, id) }
+	answered := func(c *Commands, now time.Time, id string) {
+		for _, a := range announcements(60) {
+			if a.Host.ID == id {
+				c.RecordContact(now, a)
+			}
+		}
+	}
+	silent := func(*Commands, time.Time, string) {}
+	for name, p := range map[string]struct {
+		others         func(c *Commands, now time.Time, id string)
+		logUnreachable bool
+		after          time.Duration
+		keeps, cutOff  bool
+	}{
+		"neither the registrars nor the log answer": {noAnswer, true, 10 * time.Second, true, true},
+		"the log answers":                                {noAnswer, false, 4 * time.Second, false, false},
+		"the log may not answer":                         {noAnswer, false, 2 * time.Second, true, false},
+		"nothing has answered for long":                  {noAnswer, true, time.Minute, false, false},
+		"the other registrars answer":                    {answered, true, time.Second, false, false},
+		"the machines of the other registrars answer":    {refused, true, time.Second, false, false},
+		"the other registrars have not been contacted":   {silent, true, 300 * time.Millisecond, true, false},
+		"the other registrars are not contacted in time": {silent, true, 1500 * time.Millisecond, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCommands(announcements(60))
+			c.SelectEntryHosts(start, load)
+			before := selectedHosts(c)
+			c.SetLogReachable(!p.logUnreachable)
+			check := c.RecordNoAnswer(start.Add(time.Millisecond), before[0])
+			is.Equal(len(check), roster.MaxRegistrars-1)
+			for _, h := range check {
+				p.others(c, start.Add(2*time.Millisecond), h.ID)
+			}
+			c.SelectEntryHosts(start.Add(p.after), load)
+			is.Equal(slices.Equal(selectedHosts(c), before), p.keeps)
+			is.Equal((&rosterquery.Queries{Tables: c.Tables}).Isolated(), p.cutOff)
+		})
+	}
+}
+
+func selectedHosts(c *Commands) (ids []string) {
+	c.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) { ids = hostIDs(r.EntryHosts) })
+	return ids
+}
+
 // BenchmarkSelectEntryHosts measures a selection without a change, which each node makes five times a second.
 func BenchmarkSelectEntryHosts(b *testing.B) {
 	for _, hosts := range []int{44, 442, 840} {
--- a/internal/roster/rosterquery/rosterquery.go
+++ b/internal/roster/rosterquery/rosterquery.go
@@ -31,10 +31,20 @@
 	return entryHosts
 }
 
+// Isolated reports whether the node is cut off from most registrars and from the platform's log.
+func (q *Queries) Isolated() (isolated bool) {
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) { isolated = r.Isolated })
+	return isolated
+}
+
 // EntryHostsFor returns the entry hosts for a caller in the availability zone: those in the same zone or, if there are
-// none, all of them.
+// none, all of them. An isolated host does not name itself beside others, because it can share no state with them.
 func (q *Queries) EntryHostsFor(zone string) []fleet.Host {
 	entryHosts := q.EntryHosts()
+	if len(entryHosts) > 1 && q.Isolated() {
+		self, _ := q.Self()
+		entryHosts = slices.DeleteFunc(slices.Clone(entryHosts), func(h fleet.Host) bool { return h.ID == self.ID })
+	}
 	var sameZone []fleet.Host
 	for _, h := range entryHosts {
 		if h.AvailabilityZone == zone {
--- a/pkg/table/roster.go
+++ b/pkg/table/roster.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"time"
+
 	"egretline.example/egretline/internal/decide/roster"
 	"egretline.example/egretline/pkg/fleet"
 )
@@ -12,6 +14,12 @@
 	Ready bool
 	// Hosts holds the states of the other hosts by host ID, without the node itself.
 	Hosts map[string]*roster.State
+	// UnansweredSince is when a registrar first did not answer while the others were not known to be in touch; zero if there is
+	// no such doubt. Isolated reports whether the node is cut off from most registrars and from the platform's log, and
+	// LogUnreachable whether the last read of the log failed.
+	UnansweredSince time.Time
+	Isolated        bool
+	LogUnreachable  bool
 	// EntryHosts are the entry hosts, to which callers are sent. The slice is replaced, never modified.
 	EntryHosts []fleet.Host
 	// SelectedFrom holds the hosts from which EntryHosts were selected, by host ID, and SelectedLoad the load in requests
