quota: presume that entry hosts out of reach still accept requests

Cause: all entry hosts were cut off together. The hosts that replaced them counted each other and decided with the whole limit. Change: a host that becomes an entry host sets the parts of those before it aside until it hears one of them or a host that decides, until their processes refuse connections, or for 60 s. While the registrars do not answer, every second sync goes to another host. Two subtests of TestBoundBesideUncountedHosts, now also with hosts that were never entry hosts, fail on the commit before in every run: 3992 and 3969 requests of 2152 allowed. TestEntryHostsReplacedAfterTheirEnd holds the service after killed processes.

--- a/internal/customer/quotacmd/fleet_test.go
+++ b/internal/customer/quotacmd/fleet_test.go
@@ -78,7 +78,12 @@
 }
 
 func newTestFleet(hosts int, limit fleet.Quota, seed uint64) *testFleet {
-	f := &testFleet{Now: start, Limit: limit, Random: rand.New(rand.NewPCG(seed, 1)), Delay: 10 * time.Millisecond, revision: 1}
+	return newSelectedFleet(hosts, 0, limit, seed)
+}
+
+// newSelectedFleet returns a fleet of which only some hosts were ever entry hosts.
+func newSelectedFleet(hosts, entryHosts int, limit fleet.Quota, seed uint64) *testFleet {
+	f := &testFleet{Now: start, Limit: limit, EntryHosts: entryHosts, Random: rand.New(rand.NewPCG(seed, 1)), Delay: 10 * time.Millisecond, revision: 1}
 	for i := range hosts {
 		f.Hosts = append(f.Hosts, &testHost{ID: fmt.Sprint("h", i)})
 		f.startHost(i, true)
--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -329,12 +329,13 @@
 	h.Part, h.CountsSelf = r.Customers.Part, r.Customers.Counted
 	h.Entry, h.Decides, h.Shared = r.Customers.Entry, r.Customers.Decides, r.Customers.Shared
 	h.Counted = h.Counted && h.Decides
-	silent := make(map[string]time.Time, len(r.Customers.Others))
+	silent, named := make(map[string]time.Time, len(r.Customers.Others)), map[string]time.Time{}
 	for _, o := range r.Customers.Others {
 		age := time.Duration(o.AgeMs) * time.Millisecond
 		if o.ID == c.self {
 			continue
 		}
+		named[o.ID] = now
 		q.Membership.Relay(now, quota.Part{ID: o.ID, Fraction: o.Part}, age)
 		if age <= quota.MaxSilence {
 			continue
@@ -345,11 +346,19 @@
 		}
 	}
 	h.Silent = silent
+	if h.Decides && !q.MayDecide {
+		q.Membership.TakeOver(named)
+	}
 	if changed || !q.MayDecide || a.Restarted || a.Silence > quota.MaxSilence {
 		updateSpenders(q, now)
 	}
 }
 
+// SetGone records that the process of the host has ended.
+func (c *Commands) SetGone(id string) {
+	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) { q.Membership.SetGone(id, q.EntryHost) })
+}
+
 // forgetHost prepares the buckets for a host whose process has restarted, or of which nothing was known: it has to be told
 // of all customers, and what a process before it accepted stays charged.
 func forgetHost(q *table.Quotas, now time.Time, id string, a quota.Arrival) {
@@ -413,7 +422,7 @@
 func updateSpenders(q *table.Quotas, now time.Time) {
 	before := q.Spenders.Unknown
 	q.Spenders = q.Membership.Spenders(now)
-	q.MayDecide = q.Membership.MayDecide(now, q.EntryHost)
+	q.MayDecide = q.Membership.MayDecide(now, q.EntryHost, q.Spenders)
 	if q.Spenders.Unknown >= before {
 		return
 	}
--- a/internal/customer/quotacmd/uncounted_test.go
+++ b/internal/customer/quotacmd/uncounted_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"egretline.example/egretline/pkg/fleet"
 )
 
@@ -24,6 +26,11 @@
 				f.Hosts[i].Side = side
 			}
 		}},
+		"all entry hosts cut off together": {all, func(f *testFleet) {
+			for _, h := range f.Hosts[:entryHosts] {
+				h.Side = 1
+			}
+		}},
 		"callers at hosts in touch that are no entry hosts": {[]float64{1, 0, 0, 0, 1}, func(f *testFleet) { f.split(0) }},
 		"callers that move from host to host": {[]float64{1, 1, 0}, func(f *testFleet) {
 			f.split(0)
@@ -57,14 +64,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, rate := range []float64{2, 40, 323} {
-				f := newTestFleet(hosts, fleet.Quota{RequestsPerSecond: rate, Burst: int(rate)}, 1)
-				f.EntryHosts = entryHosts
-				f.run(12 * time.Second) // the other hosts were entry hosts, and are not counted any more
-				f.setDemand(10*rate, c.weights...)
-				c.disrupt(f)
-				f.run(6 * time.Second)
-				t.Logf("rate %v: %d in a window, %.0f allowed", rate, f.worstWindow(window), allowed(f.Limit, window))
-				assertBound(t, f)
+				limit := fleet.Quota{RequestsPerSecond: rate, Burst: int(rate)}
+				// All hosts were entry hosts before, or only those that are.
+				former, selected := newTestFleet(hosts, limit, 1), newSelectedFleet(hosts, entryHosts, limit, 1)
+				former.EntryHosts = entryHosts
+				for _, f := range []*testFleet{former, selected} {
+					f.run(12 * time.Second) // former entry hosts are not counted any more
+					f.setDemand(10*rate, c.weights...)
+					c.disrupt(f)
+					f.run(6 * time.Second)
+					t.Logf("rate %v: %d in a window, %.0f allowed", rate, f.worstWindow(window), allowed(f.Limit, window))
+					assertBound(t, f)
+				}
 			}
 		})
 	}
@@ -94,6 +105,25 @@
 	}
 }
 
+// Guards against a fleet that refuses customers with a limit after the processes of all entry hosts have ended: the hosts that
+// replace them presumed that those may still accept requests.
+func TestEntryHostsReplacedAfterTheirEnd(t *testing.T) {
+	f := newTestFleet(8, fleet.Quota{RequestsPerSecond: 40, Burst: 40}, 1)
+	f.EntryHosts = 3
+	f.run(12 * time.Second)
+	f.setDemand(25, 0, 0, 0, 1)
+	for _, h := range f.Hosts[:f.EntryHosts] {
+		h.Up = false
+		for _, other := range f.Hosts[f.EntryHosts:] {
+			other.SetGone(h.ID)
+		}
+	}
+	f.run(3 * time.Second)
+	f.Accepted = nil
+	f.run(5 * time.Second)
+	is.New(t).True(len(f.Accepted) > 100)
+}
+
 // split cuts hosts off from all others.
 func (f *testFleet) split(hosts ...int) {
 	for _, i := range hosts {
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -71,12 +71,17 @@
 
 // Available returns the fraction of each limit that the parts of silent hosts leave to the others.
 func (s Spenders) Available() float64 {
-	available := 1.0
+	// Reports of different age can add up to more than the limit.
+	return max(s.unreserved(), 1/float64(unreservedFactor*s.Count()))
+}
+
+// unreserved returns the same without a lower bound.
+func (s Spenders) unreserved() float64 {
+	fraction := 1.0
 	for _, p := range s.Silent {
-		available -= p.Fraction
+		fraction -= p.Fraction
 	}
-	// Reports of different age can add up to more than the limit.
-	return max(available, 1/float64(unreservedFactor*s.Count()))
+	return fraction
 }
 
 // OwnPart returns the part of this host: an equal one among the hosts in touch.
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -27,6 +27,8 @@
 	unreservedFactor = 4
 	// settleDuration is how long after its start a host counts at least the hosts that its settings name.
 	settleDuration = 5 * time.Second
+	// minAvailable is the fraction of the limits below which nothing is left beside the parts of silent hosts.
+	minAvailable = 1e-6
 )
 
 // Membership is what a host knows of the hosts that may accept requests.
@@ -63,8 +65,10 @@
 			s.Hosts = append(s.Hosts, id)
 		case !h.settled():
 			unsettled = append(unsettled, id)
-		case h.HeardAt.IsZero() && h.Part == 0:
+		case h.presumed() && h.EntryUntil.Equal(m.SeenAt):
 			s.Hosts = append(s.Hosts, id)
+		case h.presumed():
+			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.PresumedPart})
 		default:
 			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
 		}
@@ -100,13 +104,21 @@
 	return !m.FirstStart && m.neverHeard() || len(m.Hosts) > 0 && now.Sub(m.HeardAt) > FormerEntryDuration
 }
 
-// MayDecide reports whether this host may accept requests, given whether it is an entry host. The hosts that accept requests and
-// are in touch have to count it, and one host at least must have confirmed that: all others set its part aside then. A host that
-// has heard none for maxAlone may be the last one that is left.
-func (m *Membership) MayDecide(now time.Time, entryHost bool) bool {
+// MayDecide reports whether this host may accept requests, given whether it is an entry host and which others may accept them.
+// The hosts that do and are in touch have to count it, and one host at least must have confirmed that: all others set its part
+// aside then. Nothing is left to hosts that are only in touch with each other while the entry hosts before them may still accept
+// requests. A host that has heard none for maxAlone may be the last one that is left.
+func (m *Membership) MayDecide(now time.Time, entryHost bool, s Spenders) bool {
 	onlyHost := m.Seeds == 0 && len(m.Hosts) == 0 && m.FirstHeardAt.IsZero()
-	if onlyHost || now.Sub(m.HeardAt) > maxAlone {
+	switch {
+	case onlyHost:
+		return true
+	case !entryHost:
+		return false
+	case now.Sub(m.HeardAt) > maxAlone:
 		return true
+	case s.unreserved() < minAvailable:
+		return false
 	}
 	counted := false
 	for _, h := range m.Hosts {
@@ -115,20 +127,41 @@
 		}
 		counted = counted || h.CountsSelf
 	}
-	return entryHost && counted
+	return counted
 }
 
 // Renounce forgets what a host that was no entry host last knew: that others count it, and which silent hosts may accept
-// requests. It is told both again before it decides.
+// requests. It is told both again before it decides. Until then it presumes that the entry hosts before it may.
 func (m *Membership) Renounce(now time.Time) {
+	m.HeardAt = now
 	for id, h := range m.Hosts {
 		h.CountsSelf = false
 		if !h.inTouch(now) {
+			m.Hosts[id] = &Host{PresumedPart: h.PresumedPart, EntrySince: h.EntrySince, EntryUntil: h.EntryUntil}
+		}
+	}
+}
+
+// TakeOver drops the presumption that other hosts accept requests, except for the given ones, which a host that accepts requests
+// itself has named.
+func (m *Membership) TakeOver(named map[string]time.Time) {
+	for id, h := range m.Hosts {
+		if _, found := named[id]; !found && h.presumed() {
 			delete(m.Hosts, id)
 		}
 	}
 }
 
+// SetGone records that the process of the host has ended. An entry host goes on setting aside the part of a host that it counted.
+func (m *Membership) SetGone(id string, entryHost bool) {
+	if h := m.Hosts[id]; h != nil && (h.presumed() || !entryHost) {
+		delete(m.Hosts, id)
+	}
+}
+
+// presumed reports whether the host is only known as an entry host.
+func (h *Host) presumed() bool { return h.HeardAt.IsZero() && !h.Counted }
+
 // Counts reports whether this host counts the other one among those that may accept requests: an entry host, also by its own
 // selection, that is in touch, or one that was told so before and has not reported since that it does not decide. The part of the host is set aside from
 // then on if it becomes silent, however short the time was for which it was an entry host.
@@ -291,7 +324,7 @@
 		if h.EntryUntil.IsZero() || h.EntryUntil.Before(m.SeenAt) {
 			h.EntrySince = now
 		}
-		h.EntryUntil, h.LeavingSince = now, time.Time{}
+		h.EntryUntil, h.LeavingSince, h.PresumedPart = now, time.Time{}, 1/float64(len(ids))
 	}
 	m.SeenAt = now
 	for id, h := range m.Hosts {
--- a/internal/node/entrynode/loops.go
+++ b/internal/node/entrynode/loops.go
@@ -139,10 +139,12 @@
 }
 
 // syncTarget returns the host of the next sync: a registrar, or any known host once in syncsPerNonLiveContact
-// iterations. Without registrars it returns a seed or any known host.
+// iterations. Without registrars it returns a seed or any known host. While the registrars may be out of reach, every second
+// target is any known host, because the next registrars are selected from the hosts that were contacted lately.
 func (n *Node) syncTarget(iteration int) (fleet.Host, bool) {
 	registrars := n.Roster.Registrars()
-	if len(registrars) > 0 && iteration%syncsPerNonLiveContact != syncsPerNonLiveContact-1 {
+	anyHost := iteration%syncsPerNonLiveContact == syncsPerNonLiveContact-1 || iteration%2 == 1 && n.Roster.InDoubt()
+	if len(registrars) > 0 && !anyHost {
 		if iteration%2 == 0 {
 			return n.freshestRegistrar(registrars), true
 		}
@@ -223,6 +225,7 @@
 	var status peerclient.StatusError
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.As(err, &status) {
 		n.rosterCommands.RecordFailure(now, id)
+		n.reports.quotas.SetGone(id)
 		return
 	}
 	for _, h := range n.rosterCommands.RecordNoAnswer(now, id) {
--- a/internal/roster/rosterquery/rosterquery.go
+++ b/internal/roster/rosterquery/rosterquery.go
@@ -37,6 +37,12 @@
 	return isolated
 }
 
+// InDoubt reports whether the node may be cut off from most registrars.
+func (q *Queries) InDoubt() (inDoubt bool) {
+	q.Tables.Roster.Read(guard.Held{}, func(_ guard.Held, r *table.Roster) { inDoubt = !r.UnansweredSince.IsZero() })
+	return inDoubt
+}
+
 // EntryHostsFor returns the entry hosts for a caller in the availability zone: those in the same zone or, if there are
 // none, all of them. An isolated host does not name itself beside others, because it can share no state with them.
 func (q *Queries) EntryHostsFor(zone string) []fleet.Host {
