quota: do not set parts aside for hosts that decided for a moment while a fleet restarted

Cause: dozens of hosts are entry hosts for a moment then, count each other, and fall silent. Their parts were set aside for 60 s, and passed on to others, also from hosts that only presumed them or had seen them in a roster. The sum of the parts was above 1. Change: a host that has just started forgets hosts that it heard for a moment and passes none on. What is passed on says when the host was last known to decide, and whether that is only presumed; what a host itself heard later takes precedence. Every host that is in touch and an entry host by its own selection is counted.

--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -220,7 +220,7 @@
 	}
 	for _, p := range q.Membership.Deciding(now, id, q.Spenders) {
 		section.Others = append(section.Others, peerapi.OtherHost{
-			ID: p.ID, Part: p.Fraction, AgeMs: q.Membership.SilentFor(now, p.ID).Milliseconds(),
+			ID: p.ID, Part: p.Fraction, AgeMs: q.Membership.SilentFor(now, p.ID).Milliseconds(), Presumed: p.Presumed,
 		})
 	}
 	for name := range q.Unreported {
@@ -328,16 +328,18 @@
 	changed := h.CountsSelf != r.Customers.Counted || h.Decides != r.Customers.Decides || h.Shared != r.Customers.Shared
 	h.Part, h.CountsSelf = r.Customers.Part, r.Customers.Counted
 	h.Entry, h.Decides, h.Shared = r.Customers.Entry, r.Customers.Decides, r.Customers.Shared
-	h.Counted = h.Counted && h.Decides
+	if h.Counted = h.Counted && h.Decides; h.Decides {
+		h.DecidedAt = now
+	}
 	silent, named := make(map[string]time.Time, len(r.Customers.Others)), map[string]time.Time{}
 	for _, o := range r.Customers.Others {
 		age := time.Duration(o.AgeMs) * time.Millisecond
-		if o.ID == c.self {
+		if o.ID == c.self || o.Presumed && q.MayDecide {
 			continue
 		}
 		named[o.ID] = now
-		q.Membership.Relay(now, quota.Part{ID: o.ID, Fraction: o.Part}, age)
-		if age <= quota.MaxSilence {
+		q.Membership.Relay(now, quota.Part{ID: o.ID, Fraction: o.Part, Presumed: o.Presumed}, age)
+		if age <= quota.MaxSilence || o.Presumed {
 			continue
 		}
 		silent[o.ID] = now
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -59,6 +59,8 @@
 type Part struct {
 	ID       string
 	Fraction float64
+	// Presumed is set if it is not known whether the host accepts requests.
+	Presumed bool
 }
 
 // Count returns the number of hosts that may accept requests, including the host itself.
--- a/internal/decide/quota/quota_test.go
+++ b/internal/decide/quota/quota_test.go
@@ -170,7 +170,7 @@
 		}
 		m.SeeEntryHosts(start, []string{"a", "b"})
 		for _, h := range m.Hosts {
-			h.EntrySince, h.Decides, h.Counted = start.Add(-settledEntryDuration), true, true
+			h.EntrySince, h.Decides, h.Counted, h.DecidedAt = start.Add(-settledEntryDuration), true, true, start
 		}
 		return m
 	}
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -44,6 +44,8 @@
 	// requests. Counted reports whether this host has confirmed it to that host, which may accept requests since.
 	CountsSelf bool
 	Counted    bool
+	// DecidedAt is when the host was last known to accept requests, by its own report or that of another host.
+	DecidedAt time.Time
 	// PresumedPart is the part that the host had by the number of entry hosts when it was last one.
 	PresumedPart float64
 	// EntrySince and EntryUntil are the time for which the host was last an entry host, and LeavingSince is when it was first
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -61,16 +61,16 @@
 		case !h.maySpend(now, alone):
 		case h.inTouch(now) && h.Shared:
 			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
-		case h.inTouch(now):
+		case h.inTouch(now) && (h.settled() || !m.RestartedLately(now)):
 			s.Hosts = append(s.Hosts, id)
+		case h.Counted && !h.inTouch(now) && !m.momentary(now, h):
+			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
 		case !h.settled():
 			unsettled = append(unsettled, id)
-		case h.presumed() && h.EntryUntil.Equal(m.SeenAt):
+		case h.EntryUntil.Equal(m.SeenAt):
 			s.Hosts = append(s.Hosts, id)
-		case h.presumed():
-			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.PresumedPart})
 		default:
-			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
+			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.PresumedPart, Presumed: true})
 		}
 	}
 	slices.Sort(unsettled)
@@ -90,6 +90,12 @@
 	return s
 }
 
+// momentary reports whether the host was heard for a moment while this one restarted. While a whole fleet restarts, dozens of
+// hosts are entry hosts for a moment, and little would be left beside their parts.
+func (m *Membership) momentary(now time.Time, h *Host) bool {
+	return m.RestartedLately(now) && !h.HeardAt.IsZero() && !h.inTouch(now) && !h.settled()
+}
+
 // fillParts gives equal parts to the silent hosts whose parts are not known.
 func (s *Spenders) fillParts() {
 	for i, p := range s.Silent {
@@ -162,12 +168,12 @@
 // presumed reports whether the host is only known as an entry host.
 func (h *Host) presumed() bool { return h.HeardAt.IsZero() && !h.Counted }
 
-// Counts reports whether this host counts the other one among those that may accept requests: an entry host, also by its own
-// selection, that is in touch, or one that was told so before and has not reported since that it does not decide. The part of the host is set aside from
-// then on if it becomes silent, however short the time was for which it was an entry host.
+// Counts reports whether this host counts the other one among those that may accept requests: one that is in touch and an entry
+// host by its own selection, or one that was told so before and has not reported since that it does not decide. The part of the
+// host is set aside from then on if it becomes silent, however short the time was for which it was an entry host.
 func (m *Membership) Counts(now time.Time, id string) bool {
 	h := m.Host(id)
-	h.Counted = h.Counted || h.Entry && h.inTouch(now) && h.EntryUntil.Equal(m.SeenAt)
+	h.Counted = h.Counted || h.Entry && h.inTouch(now)
 	return h.Counted
 }
 
@@ -183,9 +189,12 @@
 }
 
 // Deciding returns the hosts of which the host with the ID has to be told: the silent ones, and all that accept requests if that
-// host does not accept any yet.
+// host does not accept any yet. A host that has restarted lately knows hosts that were entry hosts for a moment only.
 func (m *Membership) Deciding(now time.Time, id string, s Spenders) []Part {
 	var list []Part
+	if m.RestartedLately(now) {
+		return nil
+	}
 	for _, p := range s.Silent {
 		if p.ID != id && !m.Host(p.ID).inTouch(now) {
 			list = append(list, p)
@@ -202,25 +211,21 @@
 	return list
 }
 
-// SilentFor returns the time since the host was an entry host or was heard, whichever was later.
+// SilentFor returns the time since the host was last known to accept requests, or presumed to.
 func (m *Membership) SilentFor(now time.Time, id string) time.Duration {
 	return now.Sub(m.Host(id).lastSeen())
 }
 
 // Relay takes the part of a host that accepts requests from another one that is in touch with this host. The age is the time
-// since it was heard there.
+// since it was heard there. What this host itself heard later takes precedence.
 func (m *Membership) Relay(now time.Time, p Part, age time.Duration) {
-	h := m.Host(p.ID)
-	until := now.Add(-age)
-	if !until.After(h.HeardAt) {
-		return
-	}
-	if until.After(h.EntryUntil) {
-		h.EntryUntil = until
-	}
-	h.Counted, h.Decides = true, true
-	if h.Part == 0 {
-		h.Part = p.Fraction
+	h, at := m.Host(p.ID), now.Add(-age)
+	switch {
+	case p.Presumed && (h.Counted || !h.HeardAt.IsZero() || !at.After(h.EntryUntil)):
+	case p.Presumed:
+		h.EntryUntil, h.EntrySince, h.PresumedPart = at, at.Add(-settledEntryDuration), p.Fraction
+	case at.After(h.HeardAt) && at.After(h.DecidedAt):
+		h.DecidedAt, h.Counted, h.Decides, h.Part = at, true, true, p.Fraction
 	}
 }
 
@@ -238,29 +243,31 @@
 // end the time for which parts are set aside, because then this host is the one that is cut off.
 func (h *Host) maySpend(now time.Time, alone time.Duration) bool {
 	switch {
-	case h.EntryUntil.IsZero() || alone > maxAlone:
+	case alone > maxAlone:
 		return false
 	case !h.LeavingSince.IsZero() && now.Sub(h.LeavingSince) > leavingDuration:
 		return false
-	case !h.settled() || !h.HeardAt.IsZero() && !h.Decides && !h.Counted:
-		return now.Sub(h.EntryUntil) <= MaxSilence
+	case now.Sub(h.EntryUntil) <= MaxSilence:
+		return true
+	case h.Counted || h.presumed() && h.settled():
+		return now.Sub(h.lastSeen()) <= FormerEntryDuration+alone
 	}
-	return now.Sub(h.lastSeen()) <= FormerEntryDuration+alone
+	return false
 }
 
-// lastSeen returns when the host was last an entry host or was heard, whichever was later.
+// lastSeen returns when the host was last known to accept requests, or presumed to.
 func (h *Host) lastSeen() time.Time {
-	if h.HeardAt.After(h.EntryUntil) {
+	switch {
+	case h.presumed():
+		return h.EntryUntil
+	case h.HeardAt.After(h.DecidedAt):
 		return h.HeardAt
 	}
-	return h.EntryUntil
+	return h.DecidedAt
 }
 
-// settled reports whether the host was an entry host for long enough that callers are likely to use it for long, or was told
-// that it is counted.
-func (h *Host) settled() bool {
-	return h.Counted || h.EntryUntil.Sub(h.EntrySince) >= settledEntryDuration
-}
+// settled reports whether the host was an entry host for long enough that callers are likely to use it for long.
+func (h *Host) settled() bool { return h.EntryUntil.Sub(h.EntrySince) >= settledEntryDuration }
 
 func (s Spenders) hasOthers() bool { return len(s.Hosts)+len(s.Silent) > 0 }
 
@@ -328,7 +335,10 @@
 	}
 	m.SeenAt = now
 	for id, h := range m.Hosts {
-		if now.Sub(h.lastSeen()) > maxAlone {
+		if m.momentary(now, h) {
+			h.Counted = false
+		}
+		if now.Sub(h.lastSeen()) > maxAlone && now.Sub(h.EntryUntil) > maxAlone {
 			delete(m.Hosts, id)
 		}
 	}
--- a/internal/peer/peerapi/usage.go
+++ b/internal/peer/peerapi/usage.go
@@ -47,6 +47,8 @@
 	Part float64 `json:"part"`
 	// AgeMs is the time since the host was last known to accept requests, in milliseconds.
 	AgeMs int64 `json:"age-ms"`
+	// Presumed is set if the sender does not know whether the host accepts requests.
+	Presumed bool `json:"presumed,omitempty"`
 }
 
 // GrantRequest asks another entry host to accept a request of a customer in place of the sender.
