quota: pass on only what a host that decides knows

Cause: hosts that are no entry hosts answered reports with what they knew from the start of the fleet, when dozens of hosts decided for a moment. Change: only a host that decides names others that do, and reports a part. A host that decides has at least its own part and presumes nothing. FirstStart makes no difference to what is forgotten in the first 5 s.

--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -215,7 +215,7 @@
 func usageSection(q *table.Quotas, now time.Time, id string) *peerapi.CustomerUsage {
 	h := q.Membership.Host(id)
 	section := &peerapi.CustomerUsage{
-		Entry: q.EntryHost, Decides: q.MayDecide, Counted: q.Membership.Counts(now, id), Part: q.Spenders.OwnPart(),
+		Entry: q.EntryHost, Decides: q.MayDecide, Counted: q.Membership.Counts(now, id), Part: q.Membership.OwnPart,
 		Shared: q.Membership.Reaches(now, h),
 	}
 	for _, p := range q.Membership.Deciding(now, id, q.Spenders) {
@@ -425,6 +425,10 @@
 	before := q.Spenders.Unknown
 	q.Spenders = q.Membership.Spenders(now)
 	q.MayDecide = q.Membership.MayDecide(now, q.EntryHost, q.Spenders)
+	q.Membership.Decides, q.Membership.OwnPart = q.MayDecide, 0
+	if q.MayDecide {
+		q.Membership.OwnPart = q.Spenders.OwnPart()
+	}
 	if q.Spenders.Unknown >= before {
 		return
 	}
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -53,6 +53,8 @@
 	Silent []Part
 	// Unknown is the number of further hosts whose IDs are not known.
 	Unknown int
+	// Own is the part that the others set aside for this host, zero if they may not.
+	Own float64
 }
 
 // Part is the fraction of each limit that a host may use while it is out of touch with all others.
@@ -73,8 +75,8 @@
 
 // Available returns the fraction of each limit that the parts of silent hosts leave to the others.
 func (s Spenders) Available() float64 {
-	// Reports of different age can add up to more than the limit.
-	return max(s.unreserved(), 1/float64(unreservedFactor*s.Count()))
+	// Parts that were reported at different times can add up to more than the limit.
+	return min(1, max(s.unreserved(), s.Own, 1/float64(unreservedFactor*s.Count())))
 }
 
 // unreserved returns the same without a lower bound.
--- a/internal/decide/quota/spenders.go
+++ b/internal/decide/quota/spenders.go
@@ -45,6 +45,9 @@
 	// FirstHeardAt is the time of the first report from any host, and HeardAt that of the last one, or the start of the process.
 	FirstHeardAt time.Time
 	HeardAt      time.Time
+	// Decides reports whether this host accepts requests, and OwnPart is its part while it does.
+	Decides bool
+	OwnPart float64
 	// InformedSince is the time since which this host was told what others accept: the start of the process, or the first
 	// report after FormerEntryDuration without any.
 	InformedSince time.Time
@@ -61,7 +64,7 @@
 		case !h.maySpend(now, alone):
 		case h.inTouch(now) && h.Shared:
 			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
-		case h.inTouch(now) && (h.settled() || !m.RestartedLately(now)):
+		case h.inTouch(now) && (h.settled() || !m.startedLately(now)):
 			s.Hosts = append(s.Hosts, id)
 		case h.Counted && !h.inTouch(now) && !m.momentary(now, h):
 			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.Part})
@@ -69,10 +72,11 @@
 			unsettled = append(unsettled, id)
 		case h.EntryUntil.Equal(m.SeenAt):
 			s.Hosts = append(s.Hosts, id)
-		default:
+		case !m.Decides:
 			s.Silent = append(s.Silent, Part{ID: id, Fraction: h.PresumedPart, Presumed: true})
 		}
 	}
+	s.Own = m.OwnPart
 	slices.Sort(unsettled)
 	s.Hosts = append(s.Hosts, unsettled[:min(len(unsettled), maxUnsettled)]...)
 	slices.Sort(s.Hosts)
@@ -93,7 +97,7 @@
 // momentary reports whether the host was heard for a moment while this one restarted. While a whole fleet restarts, dozens of
 // hosts are entry hosts for a moment, and little would be left beside their parts.
 func (m *Membership) momentary(now time.Time, h *Host) bool {
-	return m.RestartedLately(now) && !h.HeardAt.IsZero() && !h.inTouch(now) && !h.settled()
+	return m.startedLately(now) && !h.HeardAt.IsZero() && !h.inTouch(now) && !h.settled()
 }
 
 // fillParts gives equal parts to the silent hosts whose parts are not known.
@@ -123,7 +127,7 @@
 		return false
 	case now.Sub(m.HeardAt) > maxAlone:
 		return true
-	case s.unreserved() < minAvailable:
+	case max(s.unreserved(), s.Own) < minAvailable:
 		return false
 	}
 	counted := false
@@ -139,7 +143,7 @@
 // Renounce forgets what a host that was no entry host last knew: that others count it, and which silent hosts may accept
 // requests. It is told both again before it decides. Until then it presumes that the entry hosts before it may.
 func (m *Membership) Renounce(now time.Time) {
-	m.HeardAt = now
+	m.HeardAt, m.Decides, m.OwnPart = now, false, 0
 	for id, h := range m.Hosts {
 		h.CountsSelf = false
 		if !h.inTouch(now) {
@@ -189,18 +193,19 @@
 }
 
 // Deciding returns the hosts of which the host with the ID has to be told: the silent ones, and all that accept requests if that
-// host does not accept any yet. A host that has restarted lately knows hosts that were entry hosts for a moment only.
+// host does not accept any yet. A host that does not decide itself may know them no more, and one that has started lately knows
+// hosts that were entry hosts for a moment only.
 func (m *Membership) Deciding(now time.Time, id string, s Spenders) []Part {
 	var list []Part
-	if m.RestartedLately(now) {
+	if m.startedLately(now) {
 		return nil
 	}
 	for _, p := range s.Silent {
-		if p.ID != id && !m.Host(p.ID).inTouch(now) {
+		if p.ID != id && !m.Host(p.ID).inTouch(now) && (m.Decides || p.Presumed) {
 			list = append(list, p)
 		}
 	}
-	if m.Host(id).Decides {
+	if m.Host(id).Decides || !m.Decides {
 		return list
 	}
 	for other, h := range m.Hosts {
@@ -295,9 +300,12 @@
 
 // RestartedLately reports whether the process has started a short time ago, and not with the whole fleet for the first time.
 func (m *Membership) RestartedLately(now time.Time) bool {
-	return !m.FirstStart && now.Sub(m.StartedAt) < settleDuration
+	return !m.FirstStart && m.startedLately(now)
 }
 
+// startedLately reports whether the process has started a short time ago.
+func (m *Membership) startedLately(now time.Time) bool { return now.Sub(m.StartedAt) < settleDuration }
+
 // Hear records a report from the host with the ID.
 func (m *Membership) Hear(now time.Time, id string, incarnation int64, sequence uint64) (Arrival, bool) {
 	arrival, accepted := m.Host(id).Hear(now, incarnation, sequence)
