--- a/internal/customer/quotacmd/uncounted_test.go
+++ b/internal/customer/quotacmd/uncounted_test.go
@@ -143,3 +143,19 @@
 		})
 	}
 }
+
+// Guards against hosts that answer reports with what they knew when they last decided: entry hosts set parts aside for hosts that
+// had ceased to decide long before, until nothing was left for any host.
+func TestOldKnowledgeIsNotPassedOn(t *testing.T) {
+	f := newTestFleet(4, fleet.Quota{RequestsPerSecond: 40, Burst: 40}, 1)
+	f.EntryHosts = 2
+	f.run(20 * time.Second)
+	const sequence = 1_000_000 // above those of earlier reports
+	section := f.Hosts[3].Answer(f.Now, f.Hosts[0].ID, sequence)
+	for _, o := range section.Others {
+		if !o.Presumed {
+			t.Errorf("a host that does not decide names %s as one that does", o.ID)
+		}
+	}
+	is.New(t).Equal(section.Part, 0.0)
+}
