quota: separate who decides from whose parts are set aside

Cause: one file held both, and names such as sets, TakeOver and Renounce did not say what they do. No behaviour changes. Measured: nothing; the tests pass.

--- a/internal/customer/quotacmd/quotacmd.go
+++ b/internal/customer/quotacmd/quotacmd.go
@@ -349,7 +349,7 @@
 	}
 	h.Silent = silent
 	if h.Decides && !q.MayDecide {
-		q.Membership.TakeOver(named)
+		q.Membership.DropPresumed(named)
 	}
 	if changed || !q.MayDecide || a.Restarted || a.Silence > quota.MaxSilence {
 		updateSpenders(q, now)
@@ -385,7 +385,7 @@
 	var silent int
 	c.Tables.Quotas.Write(guard.Held{}, func(_ guard.Held, q *table.Quotas) {
 		if entryHost && !q.EntryHost {
-			q.Membership.Renounce(now)
+			q.Membership.BecomeEntryHost(now)
 		}
 		if q.EntryHost = entryHost; entryHost {
 			q.EntryUntil = now
--- a/internal/decide/quota/quota.go
+++ b/internal/decide/quota/quota.go
@@ -68,19 +68,19 @@
 // Count returns the number of hosts that may accept requests, including the host itself.
 func (s Spenders) Count() int { return 1 + len(s.Hosts) + len(s.Silent) + s.Unknown }
 
-// sets reports whether the part of the host is set aside.
-func (s Spenders) sets(id string) bool {
+// setsAside reports whether the part of the host is set aside.
+func (s Spenders) setsAside(id string) bool {
 	return slices.ContainsFunc(s.Silent, func(p Part) bool { return p.ID == id })
 }
 
 // Available returns the fraction of each limit that the parts of silent hosts leave to the others.
 func (s Spenders) Available() float64 {
 	// Parts that were reported at different times can add up to more than the limit.
-	return min(1, max(s.unreserved(), s.Own, 1/float64(unreservedFactor*s.Count())))
+	return min(1, max(s.remaining(), s.Own, 1/float64(unreservedFactor*s.Count())))
 }
 
-// unreserved returns the same without a lower bound.
-func (s Spenders) unreserved() float64 {
+// remaining returns the same without a lower bound.
+func (s Spenders) remaining() float64 {
 	fraction := 1.0
 	for _, p := range s.Silent {
 		fraction -= p.Fraction
--- a/internal/decide/quota/report.go
+++ b/internal/decide/quota/report.go
@@ -87,7 +87,7 @@
 // changed. What a previous run of the process accepted after its last report is not known, and stays charged.
 func (b *Bucket) Confirm(now time.Time, id string, a Arrival, s Spenders) {
 	assumed, known := b.Assumed[id]
-	if !known || s.sets(id) {
+	if !known || s.setsAside(id) {
 		return
 	}
 	b.Settle(now)
@@ -134,7 +134,7 @@
 		b.Level = min(b.Level, u.Level)
 		return
 	}
-	if s.sets(id) {
+	if s.setsAside(id) {
 		// The part of the host stays set aside although its reports arrive.
 		b.Skipped[id] += accepted
 		return
