--- a/service/node/operator_test.go
+++ b/service/node/operator_test.go
@@ -14,6 +14,8 @@
 func TestOperatorQueries(t *testing.T) {
 	f := newFleet(t, 3, 1)
 	f.applyConfig(t)
+	// The node learns of itself from the host list, which it may read after the configuration.
+	await(t, func() bool { return f.Nodes[0].Members.Serves("rental-desk") })
 
 	t.Run("services", func(t *testing.T) {
 		var got api.Services
